Add the thin path as separate processes

A platform double, targets, three balancers, a gateway and callers run as processes on loopback. Flows are sprayed over the balancers and reach one target each; a request passes the gateway; an edit is in force everywhere.

--- /dev/null
+++ b/crates/zinniadrift-core/src/balancer/verdict.rs
@@ -0,0 +1,30 @@
+use derive_more::Display;
+
+use crate::ids::{MemberId, TargetId};
+
+/// Says what to do with a packet.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// Send the packet to the target.
+    Forward(TargetId),
+    /// Send the packet to another balancer, marked as relayed.
+    Relay(MemberId),
+    /// Keep the packet until the core releases it.
+    Hold,
+    /// Drop the packet and count the reason.
+    Drop(DropReason),
+}
+
+/// Tells why a packet was dropped.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[display(rename_all = "snake_case")]
+pub enum DropReason {
+    /// No service has the packet's destination.
+    UnknownService,
+    /// The service has no target that can take the flow.
+    NoTarget,
+    /// No settings have been received yet.
+    NoSettings,
+    /// The buffer for held packets is full.
+    HoldFull,
+}
--- /dev/null
+++ b/crates/zinniadrift-core/src/error/answer.rs
@@ -0,0 +1,53 @@
+use super::ErrorKind;
+
+/// Says what the other side should do after an error.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RetryAdvice {
+    /// Repeating the same input fails again.
+    Never,
+    /// The same input may succeed after the given time in milliseconds.
+    AfterMillis(u64),
+    /// The work may have run; only an idempotent repetition is safe.
+    OnlyIfIdempotent,
+}
+
+/// Holds what a caller or an operator is told about one kind of error.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Answer {
+    /// The HTTP status code.
+    pub http_status: u16,
+    /// The exit code of command-line programs.
+    pub exit_code: u8,
+    /// Whether and when to retry.
+    pub retry: RetryAdvice,
+    /// Whether the work is known not to have run.
+    pub not_run: bool,
+}
+
+impl ErrorKind {
+    /// Returns the answer to this kind of error.
+    pub const fn answer(self) -> Answer {
+        use RetryAdvice::{AfterMillis, Never, OnlyIfIdempotent};
+        let (http_status, exit_code, retry, not_run) = match self {
+            Self::InvalidInput => (400, 2, Never, true),
+            Self::InvalidSettings => (422, 3, Never, true),
+            Self::NotFound => (404, 4, Never, true),
+            Self::Conflict => (409, 5, Never, true),
+            Self::PlatformUnavailable => (503, 6, AfterMillis(2_000), true),
+            Self::NoTarget => (503, 7, AfterMillis(1_000), true),
+            Self::Overloaded => (503, 8, AfterMillis(1_000), true),
+            Self::DeadlineBeforeStart => (503, 9, AfterMillis(1_000), true),
+            Self::ShuttingDown => (503, 10, AfterMillis(100), true),
+            Self::DuplicateRequest => (409, 11, Never, false),
+            Self::OutcomeUnknown => (502, 12, OnlyIfIdempotent, false),
+            Self::MalformedMessage => (400, 13, Never, true),
+            Self::Internal => (500, 14, OnlyIfIdempotent, false),
+        };
+        Answer {
+            http_status,
+            exit_code,
+            retry,
+            not_run,
+        }
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-core/src/error/mod.rs
@@ -0,0 +1,7 @@
+//! Lists the kinds of error and the answer to each.
+
+mod answer;
+mod error_kind;
+
+pub use answer::{Answer, RetryAdvice};
+pub use error_kind::ErrorKind;
--- /dev/null
+++ b/crates/zinniadrift-core/src/ids/target_id.rs
@@ -0,0 +1,37 @@
+use derive_more::{Display, From, FromStr, Into};
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Identifies a target of a service.
+///
+/// It is a 32-bit hash of the name, so that every process derives the same id without agreement.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    Eq,
+    From,
+    FromStr,
+    Hash,
+    Into,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Deserialize,
+    Serialize,
+)]
+pub struct TargetId(u32);
+
+impl TargetId {
+    /// Derives the id from the service's path and the target's name.
+    pub fn from_name(service: &str, name: &str) -> Self {
+        Self(xxh3_64(format!("{service}/{name}").as_bytes()) as u32)
+    }
+
+    /// Returns the id as the number used on the wire.
+    pub const fn get(self) -> u32 {
+        self.0
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-core/src/lib.rs
@@ -0,0 +1,21 @@
+//! Decides which target every flow and every request goes to, without doing any I/O.
+//!
+//! The state machines take events with the time and return actions; nothing here reads a clock,
+//! a socket or the environment. The daemons, the experiments and the tests all drive this crate.
+//!
+//! ```
+//! use zinniadrift_core::placement::Table;
+//! use zinniadrift_core::units::Weight;
+//!
+//! let table = Table::build(&[("a".into(), Weight::default()), ("b".into(), Weight::default())]);
+//! assert!(table.bucket_owner(7).is_some());
+//! ```
+
+pub mod balancer;
+pub mod error;
+pub mod flow;
+pub mod gateway;
+pub mod ids;
+pub mod placement;
+pub mod settings;
+pub mod units;
--- /dev/null
+++ b/crates/zinniadrift-core/src/placement/mod.rs
@@ -0,0 +1,5 @@
+//! Maps buckets of flows to targets.
+
+mod table;
+
+pub use table::{BUCKETS, Table};
--- /dev/null
+++ b/crates/zinniadrift-lab/src/doubles/caller.rs
@@ -0,0 +1,182 @@
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::time::Duration;
+
+use bytes::Bytes;
+use etherparse::{PacketBuilder, SlicedPacket, TransportSlice};
+use rand::{Rng, RngExt, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use serde::Serialize;
+use tokio::net::UdpSocket;
+use tokio::time::{Instant, timeout_at};
+
+use zinniadrift_core::flow::PacketKind;
+use zinniadrift_runtime::geneve::{Frame, MAX_DATAGRAM_BYTES};
+
+const TTL: u8 = 64;
+const WINDOW: u16 = 1_024;
+const FIRST_PORT: u16 = 10_000;
+const RETRANSMIT: Duration = Duration::from_millis(200);
+const MAX_TRIES: u32 = 25;
+
+/// Configures a caller double, which also plays the fabric.
+#[derive(Clone, Debug)]
+pub struct CallerSettings {
+    /// The caller's IP address.
+    pub address: Ipv4Addr,
+    /// The UDP port on which targets answer.
+    pub answer_port: u16,
+    /// The service's address.
+    pub service: SocketAddrV4,
+    /// The balancers over which packets are sprayed.
+    pub balancers: Vec<SocketAddr>,
+    /// The flows that are open at the same time.
+    pub flows: u16,
+    /// The rounds of packets that each flow sends.
+    pub rounds: u32,
+    /// The time between two rounds.
+    pub round_interval: Duration,
+    /// The seed of the spray.
+    pub seed: u64,
+}
+
+/// Holds what a caller saw.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct FlowReport {
+    /// Flows that were opened.
+    pub opened: u32,
+    /// Packets that were answered.
+    pub answered: u32,
+    /// Flows that were reset or changed their target.
+    pub broken: u32,
+    /// Flows that got no answer.
+    pub silent: u32,
+    /// Flows per target.
+    pub flows_per_target: std::collections::BTreeMap<String, u32>,
+}
+
+/// Opens flows, sends packets through random balancers and reports what came back.
+///
+/// # Errors
+///
+/// Fails if the socket does.
+pub async fn run_flows(cfg: &CallerSettings) -> std::io::Result<FlowReport> {
+    let socket = UdpSocket::bind((cfg.address, cfg.answer_port)).await?;
+    let mut caller = Caller {
+        cfg,
+        socket,
+        rng: Xoshiro256PlusPlus::seed_from_u64(cfg.seed),
+        report: FlowReport::default(),
+        targets: HashMap::new(),
+        broken: std::collections::HashSet::new(),
+    };
+    caller.round(PacketKind::Open).await?;
+    for _ in 0..cfg.rounds {
+        tokio::time::sleep(cfg.round_interval).await;
+        caller.round(PacketKind::Middle).await?;
+    }
+    caller.round(PacketKind::Close).await?;
+    Ok(caller.finish())
+}
+
+struct Caller<'a> {
+    cfg: &'a CallerSettings,
+    socket: UdpSocket,
+    rng: Xoshiro256PlusPlus,
+    report: FlowReport,
+    targets: HashMap<u16, String>,
+    broken: std::collections::HashSet<u16>,
+}
+
+impl Caller<'_> {
+    /// Sends one packet of every flow and repeats it until it is answered.
+    async fn round(&mut self, kind: PacketKind) -> std::io::Result<()> {
+        for i in 0..self.cfg.flows {
+            let port = FIRST_PORT + i;
+            if self.broken.contains(&port) {
+                continue;
+            }
+            if self.exchange(port, kind).await? {
+                self.report.answered += 1;
+                self.report.opened += u32::from(kind == PacketKind::Open);
+            } else {
+                self.report.silent += 1;
+                self.broken.insert(port);
+            }
+        }
+        Ok(())
+    }
+
+    async fn exchange(&mut self, port: u16, kind: PacketKind) -> std::io::Result<bool> {
+        let mut buf = vec![0; MAX_DATAGRAM_BYTES];
+        for _ in 0..MAX_TRIES {
+            let via = self.cfg.balancers[self.rng.random_range(0..self.cfg.balancers.len())];
+            let datagram = Frame::encode(&self.packet(port, kind), false);
+            self.socket.send_to(&datagram, via).await?;
+            let deadline = Instant::now() + RETRANSMIT;
+            while let Ok(received) = timeout_at(deadline, self.socket.recv_from(&mut buf)).await {
+                let (len, _) = received?;
+                if self.accept(port, &buf[..len]) {
+                    return Ok(true);
+                }
+            }
+        }
+        Ok(false)
+    }
+
+    fn packet(&mut self, port: u16, kind: PacketKind) -> Vec<u8> {
+        let (caller, service) = (self.cfg.address, self.cfg.service);
+        let seq = self.rng.next_u32();
+        let base = PacketBuilder::ipv4(caller.octets(), service.ip().octets(), TTL).tcp(
+            port,
+            service.port(),
+            seq,
+            WINDOW,
+        );
+        let builder = match kind {
+            PacketKind::Open => base.syn(),
+            PacketKind::Middle => base.psh().ack(1),
+            PacketKind::Close => base.fin().ack(1),
+            PacketKind::Reset => base.rst(),
+        };
+        let mut packet = Vec::new();
+        // Writing to a vector cannot fail for a packet of this size.
+        builder.write(&mut packet, b"ping").unwrap_or_default();
+        packet
+    }
+
+    /// Reads an answer; returns whether it belongs to the flow on `port`.
+    fn accept(&mut self, port: u16, datagram: &[u8]) -> bool {
+        let Ok(frame) = Frame::decode(&Bytes::copy_from_slice(datagram)) else {
+            return false;
+        };
+        let Ok(sliced) = SlicedPacket::from_ip(&frame.packet) else {
+            return false;
+        };
+        let Some(TransportSlice::Tcp(tcp)) = sliced.transport else {
+            return false;
+        };
+        if tcp.destination_port() != port {
+            return false;
+        }
+        if tcp.rst() {
+            self.broken.insert(port);
+        }
+        let name = String::from_utf8_lossy(tcp.payload()).into_owned();
+        if !name.is_empty() {
+            let first = self.targets.entry(port).or_insert_with(|| name.clone());
+            if *first != name {
+                self.broken.insert(port);
+            }
+        }
+        true
+    }
+
+    fn finish(mut self) -> FlowReport {
+        self.report.broken = self.broken.len() as u32;
+        for name in self.targets.into_values() {
+            *self.report.flows_per_target.entry(name).or_default() += 1;
+        }
+        self.report
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-lab/src/doubles/platform.rs
@@ -0,0 +1,119 @@
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use axum::extract::{Path, Query, State};
+use axum::http::{HeaderMap, StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use axum::routing::{get, post};
+use axum::{Json, Router};
+use serde_json::Value;
+use tokio::net::TcpListener;
+
+use zinniadrift_platform::{MemoryStore, ObjectStore, Precondition, StoreError, StoreFaults};
+
+const DEFAULT_WATCH_WAIT_MS: u64 = 1_000;
+
+type Store = State<Arc<MemoryStore>>;
+
+/// Serves the platform's object API from memory until `stop` completes.
+///
+/// `POST /faults` replaces the injected faults.
+///
+/// # Errors
+///
+/// Fails if the listener does.
+pub async fn serve_platform(
+    listener: TcpListener,
+    stop: impl Future<Output = ()> + Send + 'static,
+) -> std::io::Result<()> {
+    let app = Router::new()
+        .route("/objects/{*key}", get(read).put(write))
+        .route("/list/{*prefix}", get(list))
+        .route("/watch/{*prefix}", get(watch))
+        .route("/faults", post(set_faults))
+        .with_state(Arc::new(MemoryStore::default()));
+    // Pending watches must not delay the end of the process, so the server is dropped, not drained.
+    tokio::select! {
+        result = axum::serve(listener, app).into_future() => result,
+        () = stop => Ok(()),
+    }
+}
+
+async fn read(State(store): Store, Path(key): Path<String>) -> Response {
+    match store.get(&key).await {
+        Ok(Some(object)) => Json(object).into_response(),
+        Ok(None) => StatusCode::NOT_FOUND.into_response(),
+        Err(e) => failed(&e),
+    }
+}
+
+async fn write(
+    State(store): Store,
+    Path(key): Path<String>,
+    headers: HeaderMap,
+    Json(value): Json<Value>,
+) -> Response {
+    let Some(pre) = precondition(&headers) else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    match store.put(&key, value, pre).await {
+        Ok(revision) => Json(revision).into_response(),
+        Err(e) => failed(&e),
+    }
+}
+
+async fn list(State(store): Store, Path(prefix): Path<String>) -> Response {
+    match store.list(&prefix).await {
+        Ok(objects) => Json(objects).into_response(),
+        Err(e) => failed(&e),
+    }
+}
+
+async fn watch(
+    State(store): Store,
+    Path(prefix): Path<String>,
+    Query(query): Query<HashMap<String, u64>>,
+) -> Response {
+    let after = query.get("after").copied().unwrap_or(0);
+    let wait = query
+        .get("wait_ms")
+        .copied()
+        .unwrap_or(DEFAULT_WATCH_WAIT_MS);
+    match store
+        .watch(&prefix, after, Duration::from_millis(wait))
+        .await
+    {
+        Ok(objects) => Json(objects).into_response(),
+        Err(e) => failed(&e),
+    }
+}
+
+async fn set_faults(State(store): Store, Json(faults): Json<StoreFaults>) -> StatusCode {
+    store.set_faults(faults);
+    StatusCode::NO_CONTENT
+}
+
+fn precondition(headers: &HeaderMap) -> Option<Precondition> {
+    if headers.contains_key(header::IF_NONE_MATCH) {
+        return Some(Precondition::Absent);
+    }
+    match headers.get(header::IF_MATCH) {
+        Some(value) => value
+            .to_str()
+            .ok()?
+            .parse()
+            .ok()
+            .map(Precondition::Revision),
+        None => Some(Precondition::None),
+    }
+}
+
+fn failed(e: &StoreError) -> Response {
+    let status = match e {
+        StoreError::Unavailable { .. } => StatusCode::SERVICE_UNAVAILABLE,
+        StoreError::Conflict { .. } => StatusCode::PRECONDITION_FAILED,
+        StoreError::Refused { .. } => StatusCode::BAD_REQUEST,
+    };
+    (status, e.to_string()).into_response()
+}
--- /dev/null
+++ b/crates/zinniadrift-lab/src/lib.rs
@@ -0,0 +1,3 @@
+//! Provides test doubles of everything around zinniadrift, and experiments with its core.
+
+pub mod doubles;
--- /dev/null
+++ b/crates/zinniadrift-platform/src/object_store.rs
@@ -0,0 +1,33 @@
+use std::future::Future;
+use std::time::Duration;
+
+use serde_json::Value;
+
+use crate::{Object, Precondition, StoreError};
+
+/// Is the platform's object API: versions, conditional updates and watches.
+pub trait ObjectStore: Send + Sync {
+    /// Reads one object; `None` if it does not exist.
+    fn get(&self, key: &str) -> impl Future<Output = Result<Option<Object>, StoreError>> + Send;
+
+    /// Reads all objects whose key starts with `prefix`.
+    fn list(&self, prefix: &str) -> impl Future<Output = Result<Vec<Object>, StoreError>> + Send;
+
+    /// Writes one object if `pre` holds and returns its new revision.
+    fn put(
+        &self,
+        key: &str,
+        value: Value,
+        pre: Precondition,
+    ) -> impl Future<Output = Result<u64, StoreError>> + Send;
+
+    /// Waits up to `wait` for objects below `prefix` with a revision above `after`.
+    ///
+    /// Returns an empty list when nothing changed in time.
+    fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Vec<Object>, StoreError>> + Send;
+}
--- /dev/null
+++ b/crates/zinniadrift-platform/src/store_error.rs
@@ -0,0 +1,38 @@
+use snafu::Snafu;
+
+use zinniadrift_core::error::ErrorKind;
+
+/// Tells why a call to the platform failed.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub))]
+pub enum StoreError {
+    /// The platform did not answer; a write may have taken effect.
+    #[snafu(display("the platform did not answer: {reason}"))]
+    Unavailable {
+        /// What happened on the connection.
+        reason: Box<str>,
+    },
+    /// The precondition did not hold; nothing was written.
+    #[snafu(display("object {key} was changed by another writer"))]
+    Conflict {
+        /// The object's name.
+        key: Box<str>,
+    },
+    /// The platform refused the call; nothing was written.
+    #[snafu(display("the platform refused the call with status {status}"))]
+    Refused {
+        /// The HTTP status.
+        status: u16,
+    },
+}
+
+impl StoreError {
+    /// Returns the kind that decides the answer to the caller or operator.
+    pub const fn kind(&self) -> ErrorKind {
+        match self {
+            Self::Unavailable { .. } => ErrorKind::PlatformUnavailable,
+            Self::Conflict { .. } => ErrorKind::Conflict,
+            Self::Refused { .. } => ErrorKind::InvalidInput,
+        }
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-proto/src/lib.rs
@@ -0,0 +1,9 @@
+//! Defines the messages between zinniadrift's own processes.
+//!
+//! The types in [`v1`] are generated from `proto/zinniadrift.proto` by `cargo xtask generate`.
+
+/// Generated protobuf messages and tonic stubs.
+#[allow(missing_docs, unreachable_pub, clippy::all, clippy::pedantic)]
+pub mod v1 {
+    include!("generated/zinniadrift.v1.rs");
+}
--- /dev/null
+++ b/crates/zinniadrift-runtime/src/daemon/daemon_settings.rs
@@ -0,0 +1,62 @@
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde::{Deserialize, Serialize};
+use snafu::ResultExt;
+
+use zinniadrift_core::ids::ZoneName;
+
+use super::DaemonError;
+use super::daemon_error::{InvalidSettingsSnafu, ReadSettingsSnafu};
+
+/// Holds the settings file of one daemon.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct DaemonSettings {
+    /// The daemon's name, unique among the user's daemons.
+    pub name: Box<str>,
+    /// The user whose settings and services the daemon serves.
+    pub user: Box<str>,
+    /// The availability zone that the daemon is in.
+    pub zone: ZoneName,
+    /// The address on which the daemon takes packets (UDP) or requests (TCP).
+    pub listen: SocketAddr,
+    /// The address for messages of the user's other daemons (UDP and TCP).
+    pub peer: SocketAddr,
+    /// The address of the platform's object API.
+    pub platform: SocketAddr,
+    /// The peer addresses to contact when the platform is down.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The address to which metrics are sent (statsd over UDP).
+    #[serde(default)]
+    pub statsd: Option<SocketAddr>,
+    /// The address of the time line collector.
+    #[serde(default)]
+    pub timeline: Option<SocketAddr>,
+}
+
+impl DaemonSettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be read or does not have the expected shape.
+    pub fn load(path: &Path) -> Result<Self, DaemonError> {
+        let shown: Box<str> = path.display().to_string().into();
+        let text = std::fs::read(path).context(ReadSettingsSnafu {
+            path: shown.clone(),
+        })?;
+        let mut de = serde_json::Deserializer::from_slice(&text);
+        serde_path_to_error::deserialize(&mut de).map_err(|e| {
+            let json_path = format!("$.{}", e.path());
+            let text = e.inner().to_string();
+            InvalidSettingsSnafu {
+                path: shown,
+                json_path,
+                text,
+            }
+            .build()
+        })
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-runtime/src/gateway/mod.rs
@@ -0,0 +1,5 @@
+//! Serves requests over HTTP.
+
+mod daemon;
+
+pub use daemon::run_gateway;
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Holds the integration tests, a module per topic.
+
+mod settings;
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,39 @@
+//! Runs the maintenance tasks of the workspace: `cargo xtask generate`.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use snafu::{ResultExt, Whatever};
+
+const PROTO_DIR: &str = "crates/zinniadrift-proto/proto";
+const PROTO_FILE: &str = "zinniadrift.proto";
+const GENERATED_DIR: &str = "crates/zinniadrift-proto/src/generated";
+
+fn main() -> ExitCode {
+    let mut args = pico_args::Arguments::from_env();
+    let task = args.subcommand().ok().flatten();
+    let result = match task.as_deref() {
+        Some("generate") => generate(),
+        _ => {
+            eprintln!("usage: cargo run -p xtask -- generate");
+            return ExitCode::from(2);
+        }
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("xtask: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// Generates the protobuf messages and tonic stubs into the committed directory.
+fn generate() -> Result<(), Whatever> {
+    let files = protox::compile([PROTO_FILE], [Path::new(PROTO_DIR)])
+        .whatever_context("cannot compile the protobuf file")?;
+    tonic_prost_build::configure()
+        .out_dir(GENERATED_DIR)
+        .compile_fds(files)
+        .whatever_context("cannot generate code")
+}
