--- /dev/null
+++ b/crates/zinniadrift-lab/src/cmd/measure.rs
@@ -0,0 +1,47 @@
+//! Runs an experiment and prints its figures as JSON lines.
+
+use pico_args::Arguments;
+
+use zinniadrift_lab::experiments::{EXPERIMENTS, Experiment};
+
+use super::finish;
+use crate::lab_error::LabError;
+
+pub(crate) fn execute(mut args: Arguments) -> Result<(), LabError> {
+    let seed: Option<u64> = args.opt_value_from_str("--seed")?;
+    let policy: Option<String> = args.opt_value_from_str("--policy")?;
+    let name: String = args.free_from_str()?;
+    finish(args)?;
+    let experiment = find(&name)?;
+    for policy in select(experiment, policy.as_deref())? {
+        for line in (experiment.run)(policy, seed.unwrap_or(1)) {
+            println!("{}", serde_json::to_string(&line).unwrap_or_default());
+        }
+    }
+    Ok(())
+}
+
+fn find(name: &str) -> Result<&'static Experiment, LabError> {
+    EXPERIMENTS.iter().find(|e| e.name == name).ok_or_else(|| {
+        let names: Vec<&str> = EXPERIMENTS.iter().map(|e| e.name).collect();
+        LabError::Usage {
+            text: format!("no measure {name}; expected one of {}", names.join(", ")).into(),
+        }
+    })
+}
+
+/// Returns the named policy, or all policies of the experiment.
+fn select(experiment: &Experiment, policy: Option<&str>) -> Result<Vec<&'static str>, LabError> {
+    let Some(name) = policy else {
+        return Ok(experiment.policies.to_vec());
+    };
+    let found = experiment.policies.iter().copied().find(|p| *p == name);
+    let unknown = || LabError::Usage {
+        text: format!(
+            "no policy {name}; expected one of {}",
+            experiment.policies.join(", ")
+        )
+        .into(),
+    };
+    found.map(|p| vec![p]).ok_or_else(unknown)
+}
--- a/crates/zinniadrift-lab/src/cmd/mod.rs
+++ b/crates/zinniadrift-lab/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! Holds one module per command.
 
 pub(crate) mod flows;
+pub(crate) mod measure;
 pub(crate) mod platform;
 pub(crate) mod request;
 pub(crate) mod target;
--- /dev/null
+++ b/crates/zinniadrift-lab/src/experiments/measure_line.rs
@@ -0,0 +1,18 @@
+use serde::Serialize;
+
+/// Is one figure of one run, printed as a JSON line.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct MeasureLine {
+    /// The name of the experiment.
+    pub measure: &'static str,
+    /// The policy that was run.
+    pub policy: Box<str>,
+    /// The seed of all random choices.
+    pub seed: u64,
+    /// The name of the figure.
+    pub figure: Box<str>,
+    /// The value.
+    pub value: f64,
+    /// The unit, such as `flows` or `ms`.
+    pub unit: &'static str,
+}
--- a/crates/zinniadrift-lab/src/lib.rs
+++ b/crates/zinniadrift-lab/src/lib.rs
@@ -1,3 +1,4 @@
 //! Provides test doubles of everything around zinniadrift, and experiments with its core.
 
 pub mod doubles;
+pub mod experiments;
--- a/crates/zinniadrift-lab/src/main.rs
+++ b/crates/zinniadrift-lab/src/main.rs
@@ -18,6 +18,7 @@
       [--interval-ms N] [--seed N]   open flows through the balancers
 request --gateway IP:PORT --path PATH [--method M] [--key KEY] [--body TEXT]
                                      send one request through a gateway
+measure NAME [--seed N] [--policy P] run an experiment and print its figures as JSON lines
 
 --version   print the version
 --help      print this text";
@@ -47,6 +48,7 @@
         Some("platform") => cmd::platform::execute(args),
         Some("target") => cmd::target::execute(args),
         Some("flows") => cmd::flows::execute(args),
+        Some("measure") => cmd::measure::execute(args),
         Some("request") => cmd::request::execute(args),
         _ => Err(LabError::Usage {
             text: "expected a command; see --help".into(),
