--- a/crates/zinniadrift-lab/src/cmd/mod.rs
+++ b/crates/zinniadrift-lab/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod flows;
 pub(crate) mod measure;
 pub(crate) mod platform;
+pub(crate) mod report;
 pub(crate) mod request;
 pub(crate) mod target;
 
--- a/crates/zinniadrift-lab/src/main.rs
+++ b/crates/zinniadrift-lab/src/main.rs
@@ -19,6 +19,8 @@
 request --gateway IP:PORT --path PATH [--method M] [--key KEY] [--body TEXT]
                                      send one request through a gateway
 measure NAME [--seed N] [--policy P] run an experiment and print its figures as JSON lines
+report --out FILE [--seeds N] [--measure NAME]
+                                     run all experiments and write one HTML page with plots
 
 --version   print the version
 --help      print this text";
@@ -49,6 +51,7 @@
         Some("target") => cmd::target::execute(args),
         Some("flows") => cmd::flows::execute(args),
         Some("measure") => cmd::measure::execute(args),
+        Some("report") => cmd::report::execute(args),
         Some("request") => cmd::request::execute(args),
         _ => Err(LabError::Usage {
             text: "expected a command; see --help".into(),
