Add the balancer's public interface

The runtime and the experiments need the events, actions, messages and counters before the behaviour exists; the state machine still follows the base table only.

--- a/crates/zinniadrift-core/src/balancer/actions.rs
+++ b/crates/zinniadrift-core/src/balancer/actions.rs
@@ -1,12 +1,13 @@
-use super::{PeerMessage, Verdict};
+use super::{PeerMessage, TimelineEvent, Verdict};
 use crate::ids::{MemberId, PacketToken};
+use crate::membership::MemberState;
 
 /// Is an output of the balancer's state machine.
 #[derive(Clone, Debug, PartialEq)]
 pub enum BalancerAction {
     /// Send a message to a peer.
     Send {
-        /// The receiver.
+        /// The receiver; [`super::Balancer::address_of`] gives its address.
         to: MemberId,
         /// The message.
         msg: PeerMessage,
@@ -23,6 +24,10 @@
         /// The peer that has them.
         from: MemberId,
     },
+    /// Record a state change.
+    Timeline(TimelineEvent),
+    /// Write the member's status object: its life-cycle state or settings version changed.
+    StateChanged(MemberState),
     /// Stop the process.
     Exit,
 }
--- a/crates/zinniadrift-core/src/balancer/peer_message.rs
+++ b/crates/zinniadrift-core/src/balancer/peer_message.rs
@@ -1,11 +1,101 @@
+use super::BaseSet;
+use crate::flow::Pin;
+use crate::membership::Heartbeat;
 use crate::units::Version;
 
+/// The largest datagram between members, in bytes of UDP payload.
+pub const MAX_PEER_DATAGRAM_BYTES: usize = 1_400;
+
+/// The most pins in one message; with every pin in a group of its own, and 24 bytes for the
+/// message's other fields, they still fit the largest datagram.
+pub const MAX_PINS: usize = 36;
+
+/// IPv4 and UDP headers, and the envelope with group name, sender and incarnation.
+const ENVELOPE_BYTES: usize = 28 + 28;
+/// Service, target, time and length prefixes of a group of pins.
+const GROUP_BYTES: usize = 5 + 5 + 9 + 2 + 4;
+/// Address, port and time difference of a pin.
+const PIN_BYTES: usize = 4 + 3 + 3;
+const STATUS_BYTES: usize = 2 + 5 + 2 + 9 + 9 + 4;
+const BASE_TARGET_BYTES: usize = 2 + 5 + 3;
+
 /// Is a message between two balancers of a user's group.
 #[derive(Clone, Debug, PartialEq)]
 pub enum PeerMessage {
+    /// Tells that the sender is alive and what it holds.
+    Heartbeat(Heartbeat),
+    /// Tells where flows go; the receiver acknowledges it.
+    Publish {
+        /// The number within the sender's incarnation.
+        number: u64,
+        /// The assigned flows, at most [`MAX_PINS`].
+        pins: Vec<Pin>,
+    },
+    /// Confirms that the receiver stored a publication.
+    PublishAck {
+        /// The confirmed publication.
+        number: u64,
+    },
     /// Tells that the sender holds this version of the settings.
     SettingsNotice {
         /// The sender's version.
         version: Version,
     },
+    /// Asks for all pins and base sets.
+    SnapshotRequest {
+        /// Chosen by the requester and repeated in the parts.
+        id: u32,
+        /// The part that the requester lacks; a request for part 0 starts a new snapshot.
+        index: u32,
+    },
+    /// Is one part of a snapshot.
+    SnapshotPart {
+        /// The request that it answers.
+        id: u32,
+        /// The part's position.
+        index: u32,
+        /// The number of parts.
+        total: u32,
+        /// The sender's last publication when the snapshot was taken.
+        publication: u64,
+        /// Some of the sender's pins, at most [`MAX_PINS`].
+        pins: Vec<Pin>,
+        /// Some of the sender's base sets.
+        bases: Vec<BaseSet>,
+    },
+    /// Tells that the sender stops.
+    Goodbye,
+}
+
+impl PeerMessage {
+    /// Estimates the message's bytes on the wire, including IP and UDP headers.
+    ///
+    /// Pins of equal service and target that follow each other share a group.
+    pub fn encoded_len(&self) -> usize {
+        ENVELOPE_BYTES + self.body_len()
+    }
+
+    fn body_len(&self) -> usize {
+        match self {
+            Self::Heartbeat(h) => {
+                let text = h.name.len() + AsRef::<str>::as_ref(&h.zone).len();
+                text + 50 + h.rebases.len() * STATUS_BYTES
+            }
+            Self::Publish { pins, .. } => 4 + pins_len(pins),
+            Self::PublishAck { .. } | Self::SettingsNotice { .. } => 4,
+            Self::SnapshotRequest { .. } => 8,
+            Self::SnapshotPart { pins, bases, .. } => {
+                let targets: usize = bases.iter().map(|b| b.targets.len()).sum();
+                16 + pins_len(pins) + bases.len() * 12 + targets * BASE_TARGET_BYTES
+            }
+            Self::Goodbye => 0,
+        }
+    }
+}
+
+fn pins_len(pins: &[Pin]) -> usize {
+    let groups = pins
+        .chunk_by(|a, b| (a.service, a.target) == (b.service, b.target))
+        .count();
+    groups * GROUP_BYTES + pins.len() * PIN_BYTES
 }
--- /dev/null
+++ b/crates/zinniadrift-core/src/balancer/rebase_status.rs
@@ -0,0 +1,34 @@
+use derive_more::Display;
+
+use crate::ids::ServiceId;
+use crate::units::Version;
+
+/// Tells how far a member is in the move of a service to another base set.
+#[derive(Clone, Copy, Debug, Default, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[display(rename_all = "kebab-case")]
+pub enum RebasePhase {
+    /// The member publishes new and old flows of moved buckets and uses the old base table.
+    Publishing,
+    /// All members that the member knows have acknowledged its flows of moved buckets.
+    Collected,
+    /// The member uses the new base table for unknown flows and still publishes new ones.
+    Defaulted,
+    /// The base set equals the configured one; the phase is not reported on the wire.
+    #[default]
+    Settled,
+}
+
+/// Reports one service in transition.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct RebaseStatus {
+    /// The service.
+    pub service: ServiceId,
+    /// The phase that the member reached.
+    pub phase: RebasePhase,
+    /// The digest of the base set that the member uses for unknown flows.
+    pub base: u64,
+    /// The digest of the base set that the member moves to.
+    pub goal: u64,
+    /// The settings version that the new base set comes from.
+    pub goal_version: Version,
+}
--- a/crates/zinniadrift-core/src/balancer/settings.rs
+++ b/crates/zinniadrift-core/src/balancer/settings.rs
@@ -1,5 +1,7 @@
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use super::Mechanisms;
 use crate::ids::{Incarnation, MemberId, ZoneName};
 
 /// Configures the state machine of one balancer.
@@ -13,12 +15,26 @@
     pub name: Box<str>,
     /// This member's availability zone.
     pub zone: ZoneName,
+    /// The UDP address on which this member receives messages of peers.
+    pub address: SocketAddr,
     /// The seed of all random choices.
     pub seed: u64,
     /// The time between two heartbeats to each peer.
     pub heartbeat_interval: Duration,
     /// The silence after which a peer counts as dead.
     pub dead_timeout: Duration,
+    /// The time that a starting member listens for peers before it takes itself for the first.
+    pub join_timeout: Duration,
+    /// The time without a packet after which a leaving member exits.
+    pub drain_quiet: Duration,
+    /// The longest time that a leaving member waits before it exits.
+    pub drain_deadline: Duration,
+    /// The time that a flow entry is kept after a FIN or RST.
+    pub linger: Duration,
+    /// Bytes per second that a rebase may send to all peers together.
+    pub rebase_bytes_per_s: f64,
+    /// Switches for tests.
+    pub mechanisms: Mechanisms,
 }
 
 impl Default for BalancerSettings {
@@ -28,9 +44,16 @@
             incarnation: Incarnation::default(),
             name: Box::default(),
             zone: ZoneName::default(),
+            address: (Ipv4Addr::LOCALHOST, 0).into(),
             seed: 0,
             heartbeat_interval: Duration::from_secs(1),
             dead_timeout: Duration::from_secs(3),
+            join_timeout: Duration::from_secs(3),
+            drain_quiet: Duration::from_secs(5),
+            drain_deadline: Duration::from_secs(60),
+            linger: Duration::from_secs(60),
+            rebase_bytes_per_s: 2_000.0,
+            mechanisms: Mechanisms::default(),
         }
     }
 }
--- a/crates/zinniadrift-core/src/balancer/state_machine.rs
+++ b/crates/zinniadrift-core/src/balancer/state_machine.rs
@@ -1,10 +1,15 @@
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use hashbrown::HashMap;
 
-use super::{BalancerAction, BalancerEvent, BalancerSettings, DropReason, PeerMessage, Verdict};
+use super::{
+    BalancerAction, BalancerEvent, BalancerSettings, Counters, DropReason, PeerMessage,
+    RebasePhase, Verdict,
+};
 use crate::flow::FlowPacket;
-use crate::ids::TargetId;
+use crate::ids::{MemberId, ServiceId, TargetId};
+use crate::membership::MemberState;
 use crate::placement::Table;
 use crate::settings::ServiceCatalog;
 use crate::units::{MonoTime, Version};
@@ -14,6 +19,7 @@
 pub struct Balancer {
     cfg: BalancerSettings,
     catalog: Arc<ServiceCatalog>,
+    counters: Counters,
     services: HashMap<std::net::SocketAddrV4, ServiceTable>,
 }
 
@@ -29,6 +35,7 @@
         Self {
             cfg,
             catalog: Arc::default(),
+            counters: Counters::default(),
             services: HashMap::new(),
         }
     }
@@ -38,6 +45,46 @@
         self.catalog.version
     }
 
+    /// Returns this member's life-cycle state.
+    pub fn state(&self) -> MemberState {
+        MemberState::Serving
+    }
+
+    /// Tells whether this member holds every publication that it knows of.
+    pub fn is_synchronised(&self) -> bool {
+        true
+    }
+
+    /// Returns the counts since the start.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Returns the UDP address of a peer.
+    pub fn address_of(&self, _peer: MemberId) -> Option<SocketAddr> {
+        None
+    }
+
+    /// Returns the peers that count as alive.
+    pub fn live_peers(&self) -> Vec<MemberId> {
+        Vec::new()
+    }
+
+    /// Returns the number of flows that this member remembers.
+    pub fn flow_count(&self) -> usize {
+        0
+    }
+
+    /// Returns the number of remembered flows that the base table does not reproduce.
+    pub fn exception_count(&self) -> usize {
+        0
+    }
+
+    /// Returns the phase of a service's rebase.
+    pub fn rebase_phase(&self, _service: ServiceId) -> RebasePhase {
+        RebasePhase::Settled
+    }
+
     /// Returns this member's configuration.
     pub fn settings(&self) -> &BalancerSettings {
         &self.cfg
@@ -50,12 +97,16 @@
             BalancerEvent::Peer {
                 from,
                 msg: PeerMessage::SettingsNotice { version },
+                ..
             } => {
                 if version > self.version() {
                     out.push(BalancerAction::PullSettings { from });
                 }
             }
-            BalancerEvent::Tick => {}
+            BalancerEvent::Peer { .. }
+            | BalancerEvent::Hosts(_)
+            | BalancerEvent::Report(_)
+            | BalancerEvent::Tick => {}
             BalancerEvent::Leave => out.push(BalancerAction::Exit),
         }
     }
--- /dev/null
+++ b/crates/zinniadrift-core/src/balancer/timeline_event.rs
@@ -0,0 +1,69 @@
+use derive_more::Display;
+
+use super::RebasePhase;
+use crate::ids::{MemberId, ServiceId, TargetId};
+use crate::membership::MemberState;
+use crate::units::Version;
+
+/// Is a state change worth a place on the timeline.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum TimelineEvent {
+    /// The member's life-cycle state changed.
+    #[display("state {_0}")]
+    State(MemberState),
+    /// The member holds every publication that it knows of.
+    #[display("synchronised")]
+    Synchronised,
+    /// The member may lack publications.
+    #[display("unsynchronised: {_0}")]
+    Unsynchronised(SyncLoss),
+    /// A peer is heard from again.
+    #[display("peer {_0} alive")]
+    PeerAlive(MemberId),
+    /// A peer was silent for the dead timeout or said goodbye.
+    #[display("peer {_0} dead")]
+    PeerDead(MemberId),
+    /// A settings version came into force.
+    #[display("settings {_0} in force")]
+    Settings(Version),
+    /// A service reached a phase of its rebase.
+    #[display("service {service} {phase}")]
+    Rebase {
+        /// The service.
+        service: ServiceId,
+        /// The phase.
+        phase: RebasePhase,
+    },
+    /// A target gets no new flows because of its health.
+    #[display("service {service} target {target} ejected")]
+    Ejected {
+        /// The service.
+        service: ServiceId,
+        /// The target.
+        target: TargetId,
+    },
+    /// A target is no longer ejected.
+    #[display("service {service} target {target} restored")]
+    Restored {
+        /// The service.
+        service: ServiceId,
+        /// The target.
+        target: TargetId,
+    },
+}
+
+/// Tells why a member may lack publications.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq)]
+#[display(rename_all = "snake_case")]
+pub enum SyncLoss {
+    /// The member joined.
+    Joined,
+    /// The member did not run for longer than the dead timeout.
+    Paused,
+    /// A publication of a peer is missing.
+    Gap,
+    /// A peer that counted as dead is heard from again.
+    Healed,
+    /// A peer uses a base set that this member does not know.
+    BaseDiffers,
+}
--- a/crates/zinniadrift-core/src/lib.rs
+++ b/crates/zinniadrift-core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod flow;
 pub mod gateway;
 pub mod ids;
+pub mod membership;
 pub mod placement;
 pub mod settings;
 pub mod units;
--- a/crates/zinniadrift-core/src/units/mod.rs
+++ b/crates/zinniadrift-core/src/units/mod.rs
@@ -1,9 +1,11 @@
 //! Measures time, versions and weights.
 
+mod hybrid_time;
 mod mono_time;
 mod version;
 mod weight;
 
+pub use hybrid_time::HybridTime;
 pub use mono_time::MonoTime;
 pub use version::Version;
 pub use weight::Weight;
