--- /dev/null
+++ b/crates/zinniadrift-core/src/claim/claim_record.rs
@@ -0,0 +1,41 @@
+use serde::{Deserialize, Serialize};
+
+use super::{ClaimToken, StoredAnswer};
+use crate::ids::MemberId;
+
+/// Is one claim as it is stored; the field names are short because a shard holds thousands.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClaimRecord {
+    /// The claim's token.
+    #[serde(rename = "t")]
+    pub token: ClaimToken,
+    /// The gateway that made the claim.
+    #[serde(rename = "g")]
+    pub gateway: MemberId,
+    /// The Unix time in seconds at which the claim was made.
+    #[serde(rename = "s")]
+    pub since_s: u64,
+    /// How far the work is.
+    #[serde(rename = "p", default, skip_serializing_if = "ClaimPhase::is_held")]
+    pub phase: ClaimPhase,
+}
+
+/// Tells how far claimed work is. A claim whose work was not run is removed.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ClaimPhase {
+    /// The work may run, be running or have run.
+    #[default]
+    Held,
+    /// The work was not sent yet; used only with `Mechanisms::start_write`.
+    Reserved,
+    /// The work ran; the answer is kept if it is small.
+    Done(Option<StoredAnswer>),
+}
+
+impl ClaimPhase {
+    fn is_held(&self) -> bool {
+        *self == Self::Held
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-core/src/gateway/gateway_settings.rs
@@ -0,0 +1,43 @@
+use std::time::Duration;
+
+use super::Mechanisms;
+use crate::ids::{Incarnation, MemberId, ZoneName};
+
+/// Configures the state machine of one gateway.
+#[derive(Clone, Debug)]
+pub struct GatewaySettings {
+    /// This gateway's id.
+    pub member: MemberId,
+    /// This run of the gateway; together with `member` it makes claim tokens unique.
+    pub incarnation: Incarnation,
+    /// This gateway's availability zone.
+    pub zone: ZoneName,
+    /// The seed of all random choices.
+    pub seed: u64,
+    /// The Unix time in seconds at the origin of `MonoTime`; it dates claims for their retention.
+    pub unix_origin_s: u64,
+    /// The time after which a call to the platform or to the writer of a shard counts as lost.
+    pub store_timeout: Duration,
+    /// The time after `Leave` at which the gateway exits even if requests are in progress.
+    pub leave_deadline: Duration,
+    /// The lease of the baseline with expiring claims; unused by default.
+    pub lease: Duration,
+    /// The mechanisms in force.
+    pub mechanisms: Mechanisms,
+}
+
+impl Default for GatewaySettings {
+    fn default() -> Self {
+        Self {
+            member: MemberId::default(),
+            incarnation: Incarnation::default(),
+            zone: ZoneName::default(),
+            seed: 0,
+            unix_origin_s: 0,
+            store_timeout: Duration::from_millis(200),
+            leave_deadline: Duration::from_secs(30),
+            lease: Duration::from_secs(2),
+            mechanisms: Mechanisms::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-core/src/gateway/notice.rs
@@ -0,0 +1,33 @@
+use derive_more::Display;
+
+use crate::ids::{ServiceId, TargetId};
+use crate::units::Version;
+
+/// Is a state change that a gateway reports to the timeline.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum Notice {
+    /// New settings are in force.
+    #[display("settings version {_0} in force")]
+    SettingsInForce(Version),
+    /// A target failed repeatedly and gets no work for a while.
+    #[display("target {_0} ejected")]
+    TargetEjected(TargetId),
+    /// An ejected target gets work again.
+    #[display("target {_0} restored")]
+    TargetRestored(TargetId),
+    /// A service's queue has not been empty for a while; the newest requests go first.
+    #[display("service {_0} overloaded")]
+    OverloadStarted(ServiceId),
+    /// The service's queue was empty again.
+    #[display("service {_0} no longer overloaded")]
+    OverloadEnded(ServiceId),
+    /// The platform does not answer; non-idempotent requests with a key are not run.
+    #[display("platform unavailable for claims")]
+    PlatformDown,
+    /// The platform answers again.
+    #[display("platform available for claims")]
+    PlatformUp,
+    /// The gateway takes no new requests.
+    #[display("leaving")]
+    Leaving,
+}
--- a/crates/zinniadrift-core/src/gateway/outcome.rs
+++ b/crates/zinniadrift-core/src/gateway/outcome.rs
@@ -20,5 +20,8 @@
         retry_after_ms: u64,
     },
     /// The request may have run.
-    Unknown,
+    Unknown {
+        /// Why that is so: `DuplicateRequest` or `OutcomeUnknown`.
+        kind: ErrorKind,
+    },
 }
