Add an in-memory harness for several balancers

Experiments and schedule tests both need balancers that exchange messages under a virtual clock, with delays, loss, one-way cuts, pauses, kills and joins.

--- a/crates/zinniadrift-core/src/balancer/state_machine.rs
+++ b/crates/zinniadrift-core/src/balancer/state_machine.rs
@@ -45,6 +45,11 @@
         self.catalog.version
     }
 
+    /// Returns the settings in force.
+    pub fn catalog(&self) -> &Arc<ServiceCatalog> {
+        &self.catalog
+    }
+
     /// Returns this member's life-cycle state.
     pub fn state(&self) -> MemberState {
         MemberState::Serving
--- /dev/null
+++ b/crates/zinniadrift-lab/src/harness/mod.rs
@@ -0,0 +1,12 @@
+//! Connects several balancers in memory under a virtual clock.
+
+mod delivery;
+mod group;
+mod member;
+mod network;
+mod scheduled;
+
+pub use delivery::{Delivery, Outcome};
+pub use group::Group;
+pub use member::Member;
+pub use network::Network;
--- /dev/null
+++ b/crates/zinniadrift-lab/src/harness/scheduled.rs
@@ -0,0 +1,46 @@
+use std::cmp::Ordering;
+use std::sync::Arc;
+
+use zinniadrift_core::balancer::PeerMessage;
+use zinniadrift_core::flow::FlowPacket;
+use zinniadrift_core::ids::{Incarnation, MemberId};
+use zinniadrift_core::settings::ServiceCatalog;
+use zinniadrift_core::units::MonoTime;
+
+/// Is something that reaches a member later.
+#[derive(Clone, Debug)]
+pub(super) enum Arrival {
+    Message(MemberId, Incarnation, PeerMessage),
+    Packet(FlowPacket),
+    Settings(Arc<ServiceCatalog>),
+}
+
+/// Orders arrivals by time, then by the order in which they were sent.
+#[derive(Clone, Debug)]
+pub(super) struct Scheduled {
+    pub(super) at: MonoTime,
+    pub(super) seq: u64,
+    pub(super) to: usize,
+    pub(super) arrival: Arrival,
+}
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Scheduled {}
+
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Scheduled {
+    /// Reverses the order, since `BinaryHeap` returns the largest element first.
+    fn cmp(&self, other: &Self) -> Ordering {
+        (other.at, other.seq).cmp(&(self.at, self.seq))
+    }
+}
--- a/crates/zinniadrift-lab/src/lib.rs
+++ b/crates/zinniadrift-lab/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod doubles;
 pub mod experiments;
+pub mod harness;
