Add placement, publications, rebase and synchronisation of flows

Unknown flows follow the base table; every deviation is published and acknowledged before its first use. A change of the active set moves the base table only after all live members have published and confirmed the flows that it would misplace.

--- a/crates/zinniadrift-core/src/balancer/counters.rs
+++ b/crates/zinniadrift-core/src/balancer/counters.rs
@@ -19,6 +19,8 @@
     pub dropped_no_settings: u64,
     /// Packets that found the buffer for held packets full.
     pub dropped_hold_full: u64,
+    /// Held packets dropped after a pause.
+    pub dropped_stale: u64,
     /// Flows placed on the base target.
     pub placed_base: u64,
     /// Flows placed as forced exceptions.
--- /dev/null
+++ b/crates/zinniadrift-core/src/balancer/owner_table.rs
@@ -0,0 +1,26 @@
+use super::{BaseSet, TargetSlots};
+use crate::placement::{BUCKETS, Table};
+
+/// Maps each bucket to the index of a target in its service.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(super) struct OwnerTable {
+    owners: Box<[u16]>,
+}
+
+impl OwnerTable {
+    /// Builds the table of a set; targets that `slots` lacks are added to it.
+    pub(super) fn build(set: &BaseSet, slots: &mut TargetSlots) -> Self {
+        let table = Table::build_by_id(&set.targets);
+        let ids = set.targets.iter().map(|(id, _)| slots.index_or_add(*id));
+        let indices: Vec<u16> = ids.collect();
+        let owners = (0..BUCKETS).filter_map(|b| table.bucket_owner(b).map(|i| indices[i]));
+        Self {
+            owners: owners.collect(),
+        }
+    }
+
+    /// Returns the owner of a flow hash's bucket.
+    pub(super) fn owner(&self, hash: u64) -> Option<u16> {
+        self.owners.get(Table::bucket_of(hash)).copied()
+    }
+}
--- a/crates/zinniadrift-core/src/balancer/peer_message.rs
+++ b/crates/zinniadrift-core/src/balancer/peer_message.rs
@@ -1,6 +1,6 @@
 use super::BaseSet;
 use crate::flow::Pin;
-use crate::membership::Heartbeat;
+use crate::membership::{Heartbeat, PublicationMark};
 use crate::units::Version;
 
 /// The largest datagram between members, in bytes of UDP payload.
@@ -18,6 +18,7 @@
 const PIN_BYTES: usize = 4 + 3 + 3;
 const STATUS_BYTES: usize = 2 + 5 + 2 + 9 + 9 + 4;
 const BASE_TARGET_BYTES: usize = 2 + 5 + 3;
+const MARK_BYTES: usize = 2 + 5 + 9 + 5;
 
 /// Is a message between two balancers of a user's group.
 #[derive(Clone, Debug, PartialEq)]
@@ -58,6 +59,8 @@
         total: u32,
         /// The sender's last publication when the snapshot was taken.
         publication: u64,
+        /// Up to which publications of other members the snapshot is complete; in part 0 only.
+        marks: Vec<PublicationMark>,
         /// Some of the sender's pins, at most [`MAX_PINS`].
         pins: Vec<Pin>,
         /// Some of the sender's base sets.
@@ -84,9 +87,14 @@
             Self::Publish { pins, .. } => 4 + pins_len(pins),
             Self::PublishAck { .. } | Self::SettingsNotice { .. } => 4,
             Self::SnapshotRequest { .. } => 8,
-            Self::SnapshotPart { pins, bases, .. } => {
+            Self::SnapshotPart {
+                pins, bases, marks, ..
+            } => {
                 let targets: usize = bases.iter().map(|b| b.targets.len()).sum();
-                16 + pins_len(pins) + bases.len() * 12 + targets * BASE_TARGET_BYTES
+                16 + pins_len(pins)
+                    + marks.len() * MARK_BYTES
+                    + bases.len() * 12
+                    + targets * BASE_TARGET_BYTES
             }
             Self::Goodbye => 0,
         }
--- /dev/null
+++ b/crates/zinniadrift-core/src/balancer/publication.rs
@@ -0,0 +1,70 @@
+use std::time::Duration;
+
+use crate::flow::Pin;
+use crate::ids::MemberId;
+use crate::units::MonoTime;
+
+/// Times after the first transmission at which a publication is sent again. At the last one the
+/// packets that wait for it are released; the caller's TCP would otherwise notice the delay.
+const RETRANSMIT: [Duration; 4] = [
+    Duration::from_millis(3),
+    Duration::from_millis(6),
+    Duration::from_millis(12),
+    Duration::from_millis(24),
+];
+/// Transmissions after which a member is left to find the gap by itself, about 3 s after the first.
+const MAX_ATTEMPTS: usize = 11;
+
+/// Is a publication that not all receivers have acknowledged.
+#[derive(Clone, Debug)]
+pub(super) struct Publication {
+    pub(super) number: u64,
+    pub(super) pins: Vec<Pin>,
+    /// Whether packets wait for it.
+    pub(super) blocking: bool,
+    pub(super) waiting: Vec<MemberId>,
+    pub(super) due: MonoTime,
+    sent: MonoTime,
+    attempts: usize,
+}
+
+impl Publication {
+    /// Returns a publication that is transmitted for the first time at `now`.
+    pub(super) fn new(
+        now: MonoTime,
+        number: u64,
+        pins: Vec<Pin>,
+        blocking: bool,
+        waiting: Vec<MemberId>,
+    ) -> Self {
+        Self {
+            number,
+            pins,
+            blocking,
+            waiting,
+            due: now + RETRANSMIT[0],
+            sent: now,
+            attempts: 1,
+        }
+    }
+
+    /// Schedules the transmission after the one that is due now.
+    pub(super) fn reschedule(&mut self) {
+        let after = match RETRANSMIT.get(self.attempts) {
+            Some(after) => *after,
+            None => RETRANSMIT[3] * (1 << (self.attempts - 3).min(16)),
+        };
+        self.due = self.sent + after;
+        self.attempts += 1;
+    }
+
+    /// Tells whether the time for acknowledgements before the release is over.
+    pub(super) fn is_late(&self) -> bool {
+        self.attempts >= RETRANSMIT.len()
+    }
+
+    /// Tells whether the publication is not sent any more.
+    pub(super) fn is_spent(&self) -> bool {
+        self.attempts >= MAX_ATTEMPTS
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-core/src/balancer/rebase.rs
@@ -0,0 +1,50 @@
+use std::sync::Arc;
+
+use super::{BaseSet, OwnerTable, RebasePhase};
+use crate::placement::Table;
+
+/// Moves a service from one base set to another.
+#[derive(Clone, Debug)]
+pub(super) struct Rebase {
+    pub(super) goal: BaseSet,
+    pub(super) digest: u64,
+    pub(super) table: Arc<OwnerTable>,
+    /// The base table at the start; buckets in which it differs from the goal's are moved.
+    pub(super) old: Arc<OwnerTable>,
+    pub(super) phase: RebasePhase,
+    /// The position in the flow table, or `None` when the pass is complete.
+    pub(super) cursor: Option<usize>,
+    /// The last publication of the pass; all members must acknowledge it.
+    pub(super) last_publication: u64,
+}
+
+impl Rebase {
+    /// Returns a rebase in its first phase.
+    pub(super) fn new(goal: BaseSet, table: Arc<OwnerTable>, old: Arc<OwnerTable>) -> Self {
+        Self {
+            digest: goal.digest(),
+            goal,
+            table,
+            old,
+            phase: RebasePhase::Publishing,
+            cursor: Some(0),
+            last_publication: 0,
+        }
+    }
+
+    /// Enters the next phase and starts another pass over the flow table.
+    pub(super) fn advance(&mut self) {
+        self.phase = self.phase.next();
+        self.cursor = Some(0);
+    }
+
+    /// Tells whether the flow hash's bucket has different owners in the two base sets.
+    pub(super) fn moves(&self, hash: u64) -> bool {
+        self.old.owner(hash) != self.table.owner(hash)
+    }
+
+    /// Returns the bucket of a flow hash, by which members share the publishing.
+    pub(super) fn bucket(hash: u64) -> usize {
+        Table::bucket_of(hash)
+    }
+}
--- a/crates/zinniadrift-core/src/balancer/rebase_status.rs
+++ b/crates/zinniadrift-core/src/balancer/rebase_status.rs
@@ -4,11 +4,15 @@
 use crate::units::Version;
 
 /// Tells how far a member is in the move of a service to another base set.
+///
+/// A member enters a phase only when all members that it counts as alive reached the previous one.
 #[derive(Clone, Copy, Debug, Default, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[display(rename_all = "kebab-case")]
 pub enum RebasePhase {
-    /// The member publishes new and old flows of moved buckets and uses the old base table.
+    /// The member publishes new flows of moved buckets, and old ones of its share of the buckets.
     Publishing,
+    /// The member publishes the old flows of moved buckets that the others did not publish.
+    Merging,
     /// All members that the member knows have acknowledged its flows of moved buckets.
     Collected,
     /// The member uses the new base table for unknown flows and still publishes new ones.
@@ -18,6 +22,18 @@
     Settled,
 }
 
+impl RebasePhase {
+    /// Returns the phase after this one.
+    pub(crate) const fn next(self) -> Self {
+        match self {
+            Self::Publishing => Self::Merging,
+            Self::Merging => Self::Collected,
+            Self::Collected => Self::Defaulted,
+            Self::Defaulted | Self::Settled => Self::Settled,
+        }
+    }
+}
+
 /// Reports one service in transition.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct RebaseStatus {
--- /dev/null
+++ b/crates/zinniadrift-core/src/balancer/service_state.rs
@@ -0,0 +1,378 @@
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_xoshiro::Xoshiro256PlusPlus;
+
+use super::placed::{Cause, Placed};
+use super::{BaseSet, MAX_PINS, OwnerTable, Rebase, RebasePhase, RebaseStatus, TargetSlots};
+use crate::flow::{FlowEntry, FlowKey, FlowTable, Pin};
+use crate::ids::ServiceId;
+use crate::settings::{FlowPolicies, Service};
+use crate::units::{HybridClock, MonoTime, Version};
+
+/// Flows by which a target may exceed the mean in any case, so that small numbers do not count
+/// as imbalance.
+const IMBALANCE_FLOWS: f64 = 2.0;
+/// Draws for an alternate target before any usable one is taken.
+const ALTERNATE_DRAWS: usize = 6;
+
+/// Holds one service: its targets, tables and flows.
+#[derive(Clone, Debug)]
+pub(super) struct ServiceState {
+    pub(super) id: ServiceId,
+    pub(super) address: SocketAddrV4,
+    pub(super) policies: FlowPolicies,
+    pub(super) targets: TargetSlots,
+    pub(super) flows: FlowTable,
+    /// The set whose table unknown flows follow.
+    pub(super) base: BaseSet,
+    pub(super) base_digest: u64,
+    base_table: Arc<OwnerTable>,
+    /// The set of targets that the settings let take new flows.
+    pub(super) active: BaseSet,
+    pub(super) active_digest: u64,
+    active_table: Arc<OwnerTable>,
+    pub(super) rebase: Option<Rebase>,
+    /// Whether the base set is this member's guess, which a snapshot replaces.
+    pub(super) provisional: bool,
+    /// Whether flows that the adopted base set does not reproduce may have to be published.
+    pub(super) review: bool,
+}
+
+impl ServiceState {
+    /// Returns the state of a service that is new to this member.
+    pub(super) fn new(now: MonoTime, service: &Service, version: Version) -> Self {
+        let mut state = Self {
+            id: service.id,
+            address: service.address,
+            policies: service.policies.flows.clone(),
+            targets: TargetSlots::default(),
+            flows: FlowTable::new(service.address, service.policies.flows.flow_table_capacity),
+            base: BaseSet::default(),
+            base_digest: 0,
+            base_table: Arc::default(),
+            active: BaseSet::default(),
+            active_digest: 0,
+            active_table: Arc::default(),
+            rebase: None,
+            provisional: true,
+            review: false,
+        };
+        state.configure(now, service, version, false);
+        state.use_active_as_base();
+        state
+    }
+
+    /// Takes over new settings of the service; the base set does not change.
+    pub(super) fn configure(&mut self, now: MonoTime, s: &Service, version: Version, ramp: bool) {
+        self.address = s.address;
+        self.policies = s.policies.flows.clone();
+        self.flows.rekey(s.address);
+        self.flows.set_capacity(self.policies.flow_table_capacity);
+        self.targets.configure(now, &s.targets, ramp);
+        self.targets.eject(self.policies.ejection_limit);
+        let active = s.targets.iter().filter(|t| t.is_active());
+        let mut targets: Vec<_> = active.map(|t| (t.id, t.weight)).collect();
+        targets.sort_unstable();
+        let set = BaseSet {
+            service: s.id,
+            version,
+            targets,
+        };
+        let digest = set.digest();
+        if digest != self.active_digest || self.active.service != s.id {
+            self.active_table = Arc::new(OwnerTable::build(&set, &mut self.targets));
+            self.active_digest = digest;
+            self.active = set;
+        }
+    }
+
+    /// Makes the active set the base set at once.
+    pub(super) fn use_active_as_base(&mut self) {
+        self.base = self.active.clone();
+        self.base_digest = self.active_digest;
+        self.base_table = Arc::clone(&self.active_table);
+        self.rebase = None;
+    }
+
+    /// Replaces the base set by one from a peer.
+    pub(super) fn adopt(&mut self, base: BaseSet) {
+        self.provisional = false;
+        let digest = base.digest();
+        if digest != self.base_digest {
+            self.base_table = Arc::new(OwnerTable::build(&base, &mut self.targets));
+            self.base_digest = digest;
+            self.rebase = None;
+            self.review = true;
+        }
+        self.base = base;
+    }
+
+    /// Starts to move the base set to the active one.
+    pub(super) fn start_rebase(&mut self) {
+        self.rebase = Some(Rebase::new(
+            self.active.clone(),
+            Arc::clone(&self.active_table),
+            Arc::clone(&self.base_table),
+        ));
+    }
+
+    /// Uses the rebase's goal as base set.
+    pub(super) fn use_goal_as_base(&mut self) {
+        if let Some(r) = &self.rebase {
+            self.base = r.goal.clone();
+            self.base_digest = r.digest;
+            self.base_table = Arc::clone(&r.table);
+        }
+    }
+
+    /// Ends the rebase; pins that the new base table reproduces are not exceptions any more.
+    pub(super) fn settle(&mut self) {
+        self.rebase = None;
+        let base = Arc::clone(&self.base_table);
+        self.flows.sweep(0, usize::MAX, |hash, e| {
+            if !e.is_pending() && base.owner(hash) == Some(e.target()) {
+                e.unpin();
+            }
+            false
+        });
+    }
+
+    /// Returns the phase of the rebase.
+    pub(super) fn phase(&self) -> RebasePhase {
+        let rebase = self.rebase.as_ref();
+        rebase.map_or(RebasePhase::Settled, |r| r.phase)
+    }
+
+    /// Returns the status for heartbeats, or `None` at rest.
+    pub(super) fn status(&self) -> Option<RebaseStatus> {
+        self.rebase.as_ref().map(|r| RebaseStatus {
+            service: self.id,
+            phase: r.phase,
+            base: self.base_digest,
+            goal: r.digest,
+            goal_version: r.goal.version,
+        })
+    }
+
+    /// Returns the target that the base table gives.
+    pub(super) fn base_owner(&self, hash: u64) -> Option<u16> {
+        self.base_table.owner(hash)
+    }
+
+    /// Returns the key of a caller's flow.
+    pub(super) fn flow_key(&self, caller: SocketAddrV4) -> FlowKey {
+        FlowKey {
+            caller,
+            service: self.address,
+        }
+    }
+
+    /// Makes room for a flow by removing one that the base table reproduces on every member.
+    pub(super) fn evict(&mut self) -> bool {
+        let moves = |hash| self.rebase.as_ref().is_some_and(|r| r.moves(hash));
+        let base = &self.base_table;
+        let reproduces = |hash, e: &FlowEntry| base.owner(hash) == Some(e.target());
+        let may_go = |hash, e: &FlowEntry| !e.is_pending() && reproduces(hash, e) && !moves(hash);
+        self.flows.evict(may_go)
+    }
+
+    /// Tells whether a joining member needs the entry.
+    pub(super) fn is_exception(&self, hash: u64, e: &FlowEntry) -> bool {
+        e.is_pinned() || self.base_owner(hash) != Some(e.target())
+    }
+
+    /// Tells whether a flow is known that neither the active set's table nor a pin reproduces.
+    pub(super) fn has_leftovers(&self) -> bool {
+        self.leftover(&self.active_table).is_some()
+    }
+
+    /// Continues the rebase's pass if flows were added behind its position.
+    pub(super) fn recheck(&mut self) {
+        if let Some(r) = &self.rebase {
+            let found = self.leftover(&r.table);
+            if let Some(r) = &mut self.rebase {
+                r.cursor = found;
+            }
+        }
+    }
+
+    /// Removes idle and ended flows in some buckets; returns their number and the next position.
+    pub(super) fn expire(
+        &mut self,
+        now: MonoTime,
+        at: usize,
+        n: usize,
+        linger: Duration,
+    ) -> (u64, Option<usize>) {
+        let idle = Duration::from_secs(self.policies.idle_timeout_s);
+        let mut expired = 0;
+        let next = self.flows.sweep(at, n, |_, e| {
+            let bound = if e.is_closing() { linger } else { idle };
+            let remove = !e.is_pending() && e.idle(now) >= bound;
+            expired += u64::from(remove);
+            remove
+        });
+        (expired, next)
+    }
+
+    /// Publishes pins of active flows again before they become idle on members without packets.
+    pub(super) fn renew(
+        &mut self,
+        now: MonoTime,
+        at: usize,
+        n: usize,
+        clock: &mut HybridClock,
+        pins: &mut Vec<Pin>,
+    ) {
+        let half = Duration::from_secs(self.policies.idle_timeout_s) / 2;
+        let (id, targets) = (self.id, &self.targets);
+        self.flows.sweep(at, n, |_, e| {
+            let due = e.is_pinned() && clock.age(now, e.time()) >= half;
+            if due
+                && e.idle(now) < half
+                && !e.is_closing()
+                && pins.len() < MAX_PINS
+                && let Some(slot) = targets.get(e.target())
+            {
+                let time = clock.issue(now);
+                e.pin(e.target(), time);
+                pins.push(Pin {
+                    service: id,
+                    target: slot.id,
+                    time,
+                    caller: e.caller(),
+                });
+            }
+            false
+        });
+    }
+
+    /// Replaces outdated load reports by the number of known flows.
+    pub(super) fn refresh_loads(&mut self, now: MonoTime) {
+        let flows = &self.flows;
+        self.targets.refresh(now, |target| flows.count(target));
+    }
+
+    /// Returns all pins that a joining member needs.
+    pub(super) fn exceptions(&self) -> impl Iterator<Item = Pin> {
+        let entries = self.flows.iter();
+        let needed = entries.filter(|e| self.is_exception(self.flows.hash(e.caller()), e));
+        needed.filter_map(|e| self.pin_of(e))
+    }
+
+    /// Returns the pin that an entry stands for.
+    pub(super) fn pin_of(&self, e: &FlowEntry) -> Option<Pin> {
+        self.targets.get(e.target()).map(|slot| Pin {
+            service: self.id,
+            target: slot.id,
+            time: e.time(),
+            caller: e.caller(),
+        })
+    }
+
+    /// Chooses the target of a new flow, or returns `None` if the service has no active target.
+    ///
+    /// `may_publish` tells whether an optional exception is allowed.
+    pub(super) fn place(
+        &mut self,
+        now: MonoTime,
+        hash: u64,
+        members: f64,
+        rng: &mut Xoshiro256PlusPlus,
+        may_publish: impl FnOnce() -> bool,
+    ) -> Option<Placed> {
+        let desired = self.active_table.owner(hash)?;
+        let moves = self.moves(hash);
+        let base = self.base_owner(hash);
+        let mut target = desired;
+        let mut cause = Cause::Forced;
+        let mut skipped = false;
+        if self.targets.get(desired).is_some_and(|s| s.ejected) {
+            target = self.alternate(now, desired, rng).unwrap_or(desired);
+        } else if let Some((alternate, why)) = self.better(now, desired, rng) {
+            // A flow that is published anyway can be balanced at no further cost.
+            if moves || base != Some(desired) || base == Some(alternate) || may_publish() {
+                target = alternate;
+                cause = why;
+            } else {
+                skipped = true;
+            }
+        }
+        let publish = moves || base != Some(target);
+        if !publish {
+            cause = Cause::Base;
+        }
+        self.targets.place(target, members);
+        Some(Placed {
+            target,
+            publish,
+            cause,
+            skipped,
+        })
+    }
+
+    fn leftover(&self, table: &OwnerTable) -> Option<usize> {
+        let outside = |hash, e: &FlowEntry| table.owner(hash) != Some(e.target());
+        self.flows
+            .position(|hash, e| !e.is_pinned() && outside(hash, e))
+    }
+
+    fn moves(&self, hash: u64) -> bool {
+        self.rebase.as_ref().is_some_and(|r| r.moves(hash))
+    }
+
+    fn better(
+        &self,
+        now: MonoTime,
+        desired: u16,
+        rng: &mut Xoshiro256PlusPlus,
+    ) -> Option<(u16, Cause)> {
+        let slot = self.targets.get(desired)?;
+        let share = slot.ramp_share(now, self.ramp());
+        if share < 1.0 && rng.random::<f64>() >= share {
+            let alternate = self.alternate(now, desired, rng)?;
+            return Some((alternate, Cause::ColdStart));
+        }
+        let bound = self.targets.mean_ratio() * (1.0 + self.policies.imbalance_tolerance);
+        if slot.load <= bound * slot.weight + IMBALANCE_FLOWS {
+            return None;
+        }
+        let alternate = self.alternate(now, desired, rng)?;
+        let better = self.targets.get(alternate)?.ratio() < slot.ratio();
+        better.then_some((alternate, Cause::Balance))
+    }
+
+    /// Returns the better of two random usable targets other than `not`.
+    fn alternate(&self, now: MonoTime, not: u16, rng: &mut Xoshiro256PlusPlus) -> Option<u16> {
+        let mut best: Option<u16> = None;
+        let mut found = 0;
+        for _ in 0..ALTERNATE_DRAWS {
+            let Some(candidate) = self.active_table.owner(rng.random()) else {
+                break;
+            };
+            let Some(slot) = self.targets.get(candidate) else {
+                continue;
+            };
+            let ramped = rng.random::<f64>() < slot.ramp_share(now, self.ramp());
+            if candidate == not || !slot.is_usable() || !ramped {
+                continue;
+            }
+            let better = |b: u16| self.targets.get(b).is_none_or(|b| slot.ratio() < b.ratio());
+            if best.is_none_or(better) {
+                best = Some(candidate);
+            }
+            found += 1;
+            if found == 2 {
+                break;
+            }
+        }
+        best.or_else(|| self.targets.any_usable(rng.random_range(0..64)))
+    }
+
+    fn ramp(&self) -> Duration {
+        Duration::from_secs(self.policies.ramp_s)
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-core/src/balancer/snapshot_fetch.rs
@@ -0,0 +1,120 @@
+use std::time::Duration;
+
+use super::snapshot_source::WINDOW;
+use super::{BaseSet, Outbox, PeerMessage};
+use crate::ids::MemberId;
+use crate::membership::PublicationMark;
+use crate::units::MonoTime;
+
+/// The time after which missing parts are requested again.
+const RETRY: Duration = Duration::from_millis(50);
+/// Requests without a new part after which another peer is asked.
+const MAX_RETRIES: u32 = 6;
+/// Parts that a snapshot may have: 36 pins each, 2.3 million pins.
+const MAX_PARTS: u32 = 65_536;
+
+/// Fetches a snapshot from a peer part by part.
+#[derive(Clone, Debug)]
+pub(super) struct SnapshotFetch {
+    pub(super) peer: MemberId,
+    pub(super) publication: u64,
+    pub(super) marks: Vec<PublicationMark>,
+    pub(super) bases: Vec<BaseSet>,
+    id: u32,
+    have: Vec<bool>,
+    missing: usize,
+    due: MonoTime,
+    retries: u32,
+}
+
+impl SnapshotFetch {
+    /// Returns a fetch whose first request is due at once.
+    pub(super) fn new(now: MonoTime, peer: MemberId, id: u32) -> Self {
+        Self {
+            peer,
+            publication: 0,
+            marks: Vec::new(),
+            bases: Vec::new(),
+            id,
+            have: Vec::new(),
+            missing: usize::MAX,
+            due: now,
+            retries: 0,
+        }
+    }
+
+    /// Returns the next time at which a request is due.
+    pub(super) fn due(&self) -> MonoTime {
+        self.due
+    }
+
+    /// Tells whether the peer does not answer.
+    pub(super) fn has_failed(&self) -> bool {
+        self.retries > MAX_RETRIES
+    }
+
+    /// Tells whether all parts are there.
+    pub(super) fn is_complete(&self) -> bool {
+        self.missing == 0
+    }
+
+    /// Requests the first missing part if that is due.
+    pub(super) fn poll(&mut self, now: MonoTime, outbox: &mut Outbox<'_>) {
+        if self.due > now {
+            return;
+        }
+        self.retries += 1;
+        self.request(now, outbox);
+    }
+
+    /// Takes over a part's fields except its pins; tells whether the part is new.
+    pub(super) fn accept(
+        &mut self,
+        now: MonoTime,
+        part: &mut PeerMessage,
+        outbox: &mut Outbox<'_>,
+    ) -> bool {
+        let PeerMessage::SnapshotPart {
+            id,
+            index,
+            total,
+            publication,
+            marks,
+            bases,
+            ..
+        } = part
+        else {
+            return false;
+        };
+        if *id != self.id || *total == 0 || *total > MAX_PARTS || *index >= *total {
+            return false;
+        }
+        if self.have.is_empty() {
+            self.have = vec![false; *total as usize];
+            self.missing = self.have.len();
+        }
+        let at = *index as usize;
+        if self.have.get(at).copied().unwrap_or(true) {
+            return false;
+        }
+        self.have[at] = true;
+        self.missing -= 1;
+        self.retries = 0;
+        self.due = now + RETRY;
+        self.publication = *publication;
+        self.marks.append(marks);
+        self.bases.append(bases);
+        // The last part of a window asks for the next one.
+        if *index % WINDOW == WINDOW - 1 && self.missing > 0 {
+            self.request(now, outbox);
+        }
+        true
+    }
+
+    fn request(&mut self, now: MonoTime, outbox: &mut Outbox<'_>) {
+        self.due = now + RETRY;
+        let index = self.have.iter().position(|have| !have).unwrap_or(0) as u32;
+        let msg = PeerMessage::SnapshotRequest { id: self.id, index };
+        outbox.send(self.peer, msg);
+    }
+}
--- a/crates/zinniadrift-core/src/balancer/state_machine.rs
+++ b/crates/zinniadrift-core/src/balancer/state_machine.rs
@@ -1,42 +1,82 @@
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 
 use hashbrown::HashMap;
+use rand::SeedableRng;
+use rand_xoshiro::Xoshiro256PlusPlus;
 
 use super::{
-    BalancerAction, BalancerEvent, BalancerSettings, Counters, DropReason, PeerMessage,
-    RebasePhase, Verdict,
+    BalancerAction, BalancerEvent, BalancerSettings, BaseSet, Counters, Held, Outbox, PeerMessage,
+    Publisher, RebasePhase, ServiceState, SnapshotSource, Sync, TargetReport, TimelineEvent,
 };
-use crate::flow::FlowPacket;
-use crate::ids::{MemberId, ServiceId, TargetId};
-use crate::membership::MemberState;
-use crate::placement::Table;
+use crate::ids::{MemberId, ServiceId};
+use crate::membership::{LifeCycle, MemberState, Peers, Stage};
+use crate::placement::TokenBucket;
 use crate::settings::ServiceCatalog;
-use crate::units::{MonoTime, Version};
+use crate::units::{HybridClock, MonoTime, Version};
 
 /// Chooses the target of each packet that one balancer receives.
 #[derive(Debug)]
 pub struct Balancer {
-    cfg: BalancerSettings,
-    catalog: Arc<ServiceCatalog>,
-    counters: Counters,
-    services: HashMap<std::net::SocketAddrV4, ServiceTable>,
-}
-
-#[derive(Debug)]
-struct ServiceTable {
-    table: Table,
-    targets: Vec<TargetId>,
+    pub(super) cfg: BalancerSettings,
+    pub(super) catalog: Arc<ServiceCatalog>,
+    pub(super) counters: Counters,
+    pub(super) by_address: HashMap<SocketAddrV4, usize>,
+    /// The services, sorted by id.
+    pub(super) services: Vec<ServiceState>,
+    /// Limits the optional exceptions of each service.
+    pub(super) optional: Vec<TokenBucket>,
+    pub(super) peers: Peers,
+    pub(super) publisher: Publisher,
+    pub(super) held: Held,
+    pub(super) sync: Sync,
+    pub(super) stage: Stage,
+    pub(super) clock: HybridClock,
+    pub(super) rng: Xoshiro256PlusPlus,
+    pub(super) sources: Vec<SnapshotSource>,
+    /// Base sets of services that the settings do not name yet.
+    pub(super) known_bases: Vec<BaseSet>,
+    pub(super) rebase_bytes: TokenBucket,
+    pub(super) rebase_due: MonoTime,
+    pub(super) started: bool,
+    /// The last time at which the process is known to have run.
+    pub(super) last_run: MonoTime,
+    pub(super) heartbeat_due: MonoTime,
+    pub(super) heartbeats: u64,
+    pub(super) last_heartbeat: MonoTime,
+    pub(super) sweep_at: usize,
+    pub(super) bases_differ_since: Option<MonoTime>,
 }
 
 impl Balancer {
     /// Returns a balancer that has no settings yet.
     pub fn new(cfg: BalancerSettings) -> Self {
+        let rebase_bytes = TokenBucket::new(cfg.rebase_bytes_per_s, 1.0);
         Self {
+            rng: Xoshiro256PlusPlus::seed_from_u64(cfg.seed),
             cfg,
             catalog: Arc::default(),
             counters: Counters::default(),
-            services: HashMap::new(),
+            by_address: HashMap::new(),
+            services: Vec::new(),
+            optional: Vec::new(),
+            peers: Peers::default(),
+            publisher: Publisher::default(),
+            held: Held::default(),
+            sync: Sync::new(MonoTime::default()),
+            stage: Stage::Starting(LifeCycle::new()),
+            clock: HybridClock::default(),
+            sources: Vec::new(),
+            known_bases: Vec::new(),
+            rebase_bytes,
+            rebase_due: MonoTime::default(),
+            started: false,
+            last_run: MonoTime::default(),
+            heartbeat_due: MonoTime::default(),
+            heartbeats: 0,
+            last_heartbeat: MonoTime::default(),
+            sweep_at: 0,
+            bases_differ_since: None,
         }
     }
 
@@ -50,14 +90,19 @@
         &self.catalog
     }
 
+    /// Returns this member's configuration.
+    pub fn settings(&self) -> &BalancerSettings {
+        &self.cfg
+    }
+
     /// Returns this member's life-cycle state.
     pub fn state(&self) -> MemberState {
-        MemberState::Serving
+        self.stage.state()
     }
 
     /// Tells whether this member holds every publication that it knows of.
     pub fn is_synchronised(&self) -> bool {
-        true
+        self.sync.is_done()
     }
 
     /// Returns the counts since the start.
@@ -66,103 +111,182 @@
     }
 
     /// Returns the UDP address of a peer.
-    pub fn address_of(&self, _peer: MemberId) -> Option<SocketAddr> {
-        None
+    pub fn address_of(&self, peer: MemberId) -> Option<SocketAddr> {
+        self.peers.get(peer).map(|p| p.address)
     }
 
     /// Returns the peers that count as alive.
     pub fn live_peers(&self) -> Vec<MemberId> {
-        Vec::new()
+        self.peers.live().map(|p| p.id).collect()
     }
 
     /// Returns the number of flows that this member remembers.
     pub fn flow_count(&self) -> usize {
-        0
+        self.services.iter().map(|s| s.flows.len()).sum()
     }
 
     /// Returns the number of remembered flows that the base table does not reproduce.
+    ///
+    /// It examines every flow.
     pub fn exception_count(&self) -> usize {
-        0
+        let exceptions = self.services.iter().map(|s| s.exceptions().count());
+        exceptions.sum()
     }
 
     /// Returns the phase of a service's rebase.
-    pub fn rebase_phase(&self, _service: ServiceId) -> RebasePhase {
-        RebasePhase::Settled
-    }
-
-    /// Returns this member's configuration.
-    pub fn settings(&self) -> &BalancerSettings {
-        &self.cfg
+    pub fn rebase_phase(&self, service: ServiceId) -> RebasePhase {
+        let found = self.services.iter().find(|s| s.id == service);
+        found.map_or(RebasePhase::Settled, ServiceState::phase)
     }
 
     /// Handles one event and appends the resulting actions to `out`.
-    pub fn handle(&mut self, _now: MonoTime, event: BalancerEvent, out: &mut Vec<BalancerAction>) {
+    pub fn handle(&mut self, now: MonoTime, event: BalancerEvent, out: &mut Vec<BalancerAction>) {
+        self.note_running(now, out);
         match event {
-            BalancerEvent::Settings(catalog) => self.install(catalog),
             BalancerEvent::Peer {
                 from,
-                msg: PeerMessage::SettingsNotice { version },
-                ..
-            } => {
-                if version > self.version() {
-                    out.push(BalancerAction::PullSettings { from });
-                }
+                incarnation,
+                msg,
+            } => self.on_message(now, from, incarnation, msg, out),
+            BalancerEvent::Settings(catalog) => self.install(now, catalog, out),
+            BalancerEvent::Hosts(hosts) => {
+                self.peers.add_hosts(self.cfg.member, &hosts);
+                self.heartbeat_due = now;
+            }
+            BalancerEvent::Report(report) => self.on_report(now, &report, out),
+            BalancerEvent::Tick => {}
+            BalancerEvent::Leave => {
+                self.stage = self.stage.leave(now, self.cfg.drain_deadline);
+                self.state_changed(now, out);
             }
-            BalancerEvent::Peer { .. }
-            | BalancerEvent::Hosts(_)
-            | BalancerEvent::Report(_)
-            | BalancerEvent::Tick => {}
-            BalancerEvent::Leave => out.push(BalancerAction::Exit),
         }
+        self.poll(now, out);
     }
 
-    /// Decides what to do with one packet.
-    pub fn on_packet(
-        &mut self,
-        _now: MonoTime,
-        pkt: &FlowPacket,
-        _out: &mut Vec<BalancerAction>,
-    ) -> Verdict {
-        if self.version() == Version::default() {
-            return Verdict::Drop(DropReason::NoSettings);
+    /// Returns the next time at which a `Tick` is needed.
+    pub fn next_deadline(&self) -> Option<MonoTime> {
+        if self.state() == MemberState::Stopped {
+            return None;
         }
-        let Some(service) = self.services.get(&pkt.flow.service) else {
-            return Verdict::Drop(DropReason::UnknownService);
-        };
-        match service
-            .table
-            .bucket_owner(Table::bucket_of(pkt.flow.hash64()))
-        {
-            Some(i) => Verdict::Forward(service.targets[i]),
-            None => Verdict::Drop(DropReason::NoTarget),
+        let rebasing = self.services.iter().any(|s| s.rebase.is_some());
+        let deadlines = [
+            Some(self.heartbeat_due),
+            self.publisher.next_deadline(),
+            self.sync.next_deadline(&self.peers),
+            self.peers.next_expiry(self.cfg.dead_timeout),
+            self.leave_at(),
+            rebasing.then_some(self.rebase_due),
+        ];
+        deadlines.into_iter().flatten().min()
+    }
+
+    /// Notes that the process runs, and detects that it did not for a while.
+    pub(super) fn note_running(&mut self, now: MonoTime, out: &mut Vec<BalancerAction>) {
+        if !self.started {
+            self.started = true;
+            let wall = u64::from(self.cfg.incarnation);
+            self.clock = HybridClock::new(wall, now);
+            self.sync
+                .restart(now + self.cfg.join_timeout, super::SyncLoss::Joined);
+            self.heartbeat_due = now;
+        } else if now.since(self.last_run) >= self.cfg.dead_timeout {
+            self.on_pause(now, out);
         }
+        self.last_run = now;
     }
 
-    /// Returns the next time at which a `Tick` is needed.
-    pub fn next_deadline(&self) -> Option<MonoTime> {
-        None
+    pub(super) fn outbox<'a>(
+        counters: &'a mut Counters,
+        out: &'a mut Vec<BalancerAction>,
+    ) -> Outbox<'a> {
+        Outbox { out, counters }
+    }
+
+    /// Reports a new life-cycle state to the driver and the peers.
+    pub(super) fn state_changed(&mut self, now: MonoTime, out: &mut Vec<BalancerAction>) {
+        let state = self.state();
+        out.push(BalancerAction::Timeline(TimelineEvent::State(state)));
+        out.push(BalancerAction::StateChanged(state));
+        self.heartbeat_due = now;
     }
 
-    fn install(&mut self, catalog: Arc<ServiceCatalog>) {
-        if catalog.version <= self.version() {
+    fn install(
+        &mut self,
+        now: MonoTime,
+        catalog: Arc<ServiceCatalog>,
+        out: &mut Vec<BalancerAction>,
+    ) {
+        let version = catalog.version;
+        let lower = version < self.version();
+        if version == self.version() || (lower && self.cfg.mechanisms.version_check) {
+            self.counters.stale_settings += u64::from(lower);
             return;
         }
-        self.services = catalog
-            .services
-            .iter()
-            .map(|s| {
-                let active: Vec<_> = s.targets.iter().filter(|t| t.is_active()).collect();
-                let named: Vec<_> = active.iter().map(|t| (t.name.clone(), t.weight)).collect();
-                let targets = active.iter().map(|t| t.id).collect();
-                (
-                    s.address,
-                    ServiceTable {
-                        table: Table::build(&named),
-                        targets,
-                    },
-                )
-            })
-            .collect();
+        let mut old = std::mem::take(&mut self.services);
+        for s in &catalog.services {
+            let state = match old.iter().position(|o| o.id == s.id) {
+                Some(i) => {
+                    let mut state = old.swap_remove(i);
+                    state.configure(now, s, version, true);
+                    state
+                }
+                None => self.new_service(now, s, version),
+            };
+            self.services.push(state);
+        }
+        self.services.sort_by_key(|s| s.id);
+        let addresses = self.services.iter().enumerate();
+        self.by_address = addresses.map(|(i, s)| (s.address, i)).collect();
+        let rates = self.services.iter().map(|s| s.policies.publish_rate);
+        self.optional = rates.map(|r| TokenBucket::new(r, r)).collect();
         self.catalog = catalog;
+        out.push(BalancerAction::Timeline(TimelineEvent::Settings(version)));
+        out.push(BalancerAction::StateChanged(self.state()));
+        self.notify_version(out);
+        self.heartbeat_due = now;
+    }
+
+    fn new_service(
+        &mut self,
+        now: MonoTime,
+        service: &crate::settings::Service,
+        version: Version,
+    ) -> ServiceState {
+        let mut state = ServiceState::new(now, service, version);
+        let known = self.known_bases.iter().position(|b| b.service == state.id);
+        if let Some(i) = known {
+            state.adopt(self.known_bases.swap_remove(i));
+        } else {
+            state.provisional = !self.sync.is_done();
+        }
+        state
+    }
+
+    fn notify_version(&mut self, out: &mut Vec<BalancerAction>) {
+        let version = self.version();
+        let behind = self.peers.live().filter(|p| p.settings_version < version);
+        let behind: Vec<MemberId> = behind.map(|p| p.id).collect();
+        let mut outbox = Self::outbox(&mut self.counters, out);
+        for to in behind {
+            outbox.send(to, PeerMessage::SettingsNotice { version });
+        }
+    }
+
+    fn on_report(&mut self, now: MonoTime, report: &TargetReport, out: &mut Vec<BalancerAction>) {
+        let Some(s) = self.services.iter_mut().find(|s| s.id == report.service) else {
+            return;
+        };
+        if !s.targets.report(now, report) {
+            return;
+        }
+        let service = s.id;
+        for (target, ejected) in s.targets.eject(s.policies.ejection_limit) {
+            let event = if ejected {
+                TimelineEvent::Ejected { service, target }
+            } else {
+                TimelineEvent::Restored { service, target }
+            };
+            out.push(BalancerAction::Timeline(event));
+        }
     }
 }
--- /dev/null
+++ b/crates/zinniadrift-core/src/balancer/target_slot.rs
@@ -0,0 +1,60 @@
+use std::time::Duration;
+
+use crate::ids::TargetId;
+use crate::units::MonoTime;
+
+/// Is one target of a service with its load as this member estimates it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct TargetSlot {
+    pub(super) id: TargetId,
+    /// Whether the settings name the target, in any state.
+    pub(super) configured: bool,
+    /// Whether the settings let the target take new flows.
+    pub(super) active: bool,
+    pub(super) weight: f64,
+    pub(super) healthy: bool,
+    /// Whether the target gets no new flows because of its health.
+    pub(super) ejected: bool,
+    /// The time at which the target began to ramp up.
+    pub(super) ramp_from: Option<MonoTime>,
+    pub(super) reported_at: Option<MonoTime>,
+    /// The last report plus the placements since, scaled by the number of members.
+    pub(super) load: f64,
+}
+
+impl TargetSlot {
+    /// Returns a target that only flow entries or a base set name.
+    pub(super) fn new(id: TargetId) -> Self {
+        Self {
+            id,
+            configured: false,
+            active: false,
+            weight: 0.0,
+            healthy: true,
+            ejected: false,
+            ramp_from: None,
+            reported_at: None,
+            load: 0.0,
+        }
+    }
+
+    /// Tells whether the target takes new flows.
+    pub(super) fn is_usable(&self) -> bool {
+        self.active && !self.ejected
+    }
+
+    /// Returns the load relative to the weight.
+    pub(super) fn ratio(&self) -> f64 {
+        self.load / self.weight.max(1.0)
+    }
+
+    /// Returns the share of its flows that the target takes while it ramps up. 0.0 to 1.0.
+    pub(super) fn ramp_share(&self, now: MonoTime, ramp: Duration) -> f64 {
+        match self.ramp_from {
+            Some(from) if now.since(from) < ramp => {
+                now.since(from).as_secs_f64() / ramp.as_secs_f64()
+            }
+            _ => 1.0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-core/src/balancer/target_slots.rs
@@ -0,0 +1,131 @@
+use std::time::Duration;
+
+use super::{TargetReport, TargetSlot};
+use crate::ids::TargetId;
+use crate::settings::Target;
+use crate::units::MonoTime;
+
+/// The age from which a load report is not used any more.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Holds the targets of a service; an index stays valid as long as the service exists.
+#[derive(Clone, Debug, Default)]
+pub(super) struct TargetSlots {
+    slots: Vec<TargetSlot>,
+    usable_load: f64,
+    usable_weight: f64,
+}
+
+impl TargetSlots {
+    /// Returns a target by index.
+    pub(super) fn get(&self, index: u16) -> Option<&TargetSlot> {
+        self.slots.get(usize::from(index))
+    }
+
+    /// Returns the index of a target, and adds the target if it is new.
+    pub(super) fn index_or_add(&mut self, id: TargetId) -> u16 {
+        let found = self.slots.iter().position(|s| s.id == id);
+        let index = found.unwrap_or_else(|| {
+            self.slots.push(TargetSlot::new(id));
+            self.slots.len() - 1
+        });
+        index as u16
+    }
+
+    /// Takes over the targets of new settings; `ramp` makes newly active ones ramp up.
+    pub(super) fn configure(&mut self, now: MonoTime, targets: &[Target], ramp: bool) {
+        let before: Vec<bool> = self.slots.iter().map(|s| s.active).collect();
+        for slot in &mut self.slots {
+            slot.configured = false;
+            slot.active = false;
+        }
+        for t in targets {
+            let index = usize::from(self.index_or_add(t.id));
+            let slot = &mut self.slots[index];
+            slot.configured = true;
+            slot.active = t.is_active();
+            slot.weight = t.weight.get().into();
+            let was_active = before.get(index).copied().unwrap_or(false);
+            if slot.active && !was_active {
+                slot.ramp_from = ramp.then_some(now);
+            }
+        }
+        self.sum();
+    }
+
+    /// Takes over a load report; tells whether the target's health changed.
+    pub(super) fn report(&mut self, now: MonoTime, report: &TargetReport) -> bool {
+        let Some(slot) = self.slots.iter_mut().find(|s| s.id == report.target) else {
+            return false;
+        };
+        let changed = slot.healthy != report.healthy;
+        slot.healthy = report.healthy;
+        if report.healthy {
+            slot.reported_at = Some(now);
+            slot.load = report.open_flows.into();
+        }
+        self.sum();
+        changed
+    }
+
+    /// Ejects unhealthy targets up to `limit` of the active ones, and returns what changed.
+    pub(super) fn eject(&mut self, limit: f64) -> Vec<(TargetId, bool)> {
+        let active = self.slots.iter().filter(|s| s.active).count();
+        let mut allowed = (active as f64 * limit.clamp(0.0, 1.0)).floor() as usize;
+        let mut order: Vec<usize> = (0..self.slots.len()).collect();
+        // Targets that are ejected already come first, so that the set does not alternate.
+        order.sort_by_key(|&i| (!self.slots[i].ejected, self.slots[i].id));
+        let mut changes = Vec::new();
+        for i in order {
+            let slot = &mut self.slots[i];
+            let eject = slot.active && !slot.healthy && allowed > 0;
+            allowed -= usize::from(eject);
+            if eject != slot.ejected {
+                slot.ejected = eject;
+                changes.push((slot.id, eject));
+            }
+        }
+        self.sum();
+        changes
+    }
+
+    /// Replaces outdated reports by the number of known flows.
+    pub(super) fn refresh(&mut self, now: MonoTime, known: impl Fn(u16) -> u32) {
+        for (i, slot) in self.slots.iter_mut().enumerate() {
+            let fresh = |at: MonoTime| now.since(at) < REPORT_TIMEOUT;
+            if !slot.reported_at.is_some_and(fresh) {
+                slot.load = known(i as u16).into();
+            }
+        }
+        self.sum();
+    }
+
+    /// Counts a placement, scaled by the number of members that place flows alike.
+    pub(super) fn place(&mut self, index: u16, members: f64) {
+        let slot = &mut self.slots[usize::from(index)];
+        slot.load += members;
+        if slot.is_usable() {
+            self.usable_load += members;
+        }
+    }
+
+    /// Returns the mean load of the usable targets relative to their weight.
+    pub(super) fn mean_ratio(&self) -> f64 {
+        self.usable_load / self.usable_weight.max(1.0)
+    }
+
+    /// Returns a usable target, starting the search at `start`.
+    pub(super) fn any_usable(&self, start: usize) -> Option<u16> {
+        let n = self.slots.len();
+        let mut indices = (0..n).map(|i| (start + i) % n);
+        indices
+            .find(|&i| self.slots[i].is_usable())
+            .map(|i| i as u16)
+    }
+
+    fn sum(&mut self) {
+        let usable = self.slots.iter().filter(|s| s.is_usable());
+        self.usable_load = usable.clone().map(|s| s.load).sum();
+        self.usable_weight = usable.map(|s| s.weight).sum();
+    }
+}
--- a/crates/zinniadrift-core/src/balancer/verdict.rs
+++ b/crates/zinniadrift-core/src/balancer/verdict.rs
@@ -27,4 +27,6 @@
     NoSettings,
     /// The buffer for held packets is full.
     HoldFull,
+    /// The process was paused while it held the packet; the flow may have been placed elsewhere.
+    Stale,
 }
--- a/crates/zinniadrift-core/src/placement/table.rs
+++ b/crates/zinniadrift-core/src/placement/table.rs
@@ -1,5 +1,6 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::ids::TargetId;
 use crate::units::Weight;
 
 /// Counts the buckets of a table; a prime, as Maglev population requires.
@@ -22,18 +23,22 @@
     ///
     /// A target of weight zero owns no bucket. Without any weight the table is empty.
     pub fn build(targets: &[(Box<str>, Weight)]) -> Self {
-        let mut order: Vec<usize> = (0..targets.len())
-            .filter(|&i| targets[i].1.get() > 0)
-            .collect();
-        if order.is_empty() {
-            return Self {
-                owners: Box::default(),
-            };
-        }
+        let mut order: Vec<usize> = (0..targets.len()).collect();
         order.sort_by(|&a, &b| targets[a].0.cmp(&targets[b].0));
-        Self {
-            owners: populate(targets, &order),
-        }
+        Self::populate(order.into_iter().map(|i| {
+            let (name, weight) = &targets[i];
+            (i, Cursor::new(name.as_bytes()), *weight)
+        }))
+    }
+
+    /// Builds the table for targets given by id and weight, as [`Table::build`] does.
+    pub fn build_by_id(targets: &[(TargetId, Weight)]) -> Self {
+        let mut order: Vec<usize> = (0..targets.len()).collect();
+        order.sort_by_key(|&i| targets[i].0);
+        Self::populate(order.into_iter().map(|i| {
+            let (id, weight) = targets[i];
+            (i, Cursor::new(&id.get().to_le_bytes()), weight)
+        }))
     }
 
     /// Returns the index of the target that owns `bucket`, or `None` if the table is empty.
@@ -45,41 +50,59 @@
     pub const fn bucket_of(hash: u64) -> usize {
         (hash % BUCKETS as u64) as usize
     }
-}
 
-fn populate(targets: &[(Box<str>, Weight)], order: &[usize]) -> Box<[u16]> {
-    const FREE: u16 = u16::MAX;
-    let mut owners = vec![FREE; BUCKETS].into_boxed_slice();
-    let mut cursors: Vec<Cursor> = order.iter().map(|&i| Cursor::new(&targets[i].0)).collect();
-    let max_weight = order.iter().map(|&i| targets[i].1.get()).max().unwrap_or(1);
-    let mut credit = vec![0_u32; order.len()];
-    let mut filled = 0;
-    loop {
-        for (slot, &target) in order.iter().enumerate() {
-            credit[slot] += u32::from(targets[target].1.get());
-            if credit[slot] < u32::from(max_weight) {
-                continue;
-            }
-            credit[slot] -= u32::from(max_weight);
-            let bucket = cursors[slot].next_free(&owners, FREE);
-            owners[bucket] = target as u16;
-            filled += 1;
-            if filled == BUCKETS {
-                return owners;
+    fn populate(targets: impl Iterator<Item = (usize, Cursor, Weight)>) -> Self {
+        const FREE: u16 = u16::MAX;
+        let mut claims: Vec<Claim> = targets
+            .filter(|(_, _, weight)| weight.get() > 0)
+            .map(|(target, cursor, weight)| Claim {
+                target: target as u16,
+                cursor,
+                weight: weight.get().into(),
+                credit: 0,
+            })
+            .collect();
+        let Some(max_weight) = claims.iter().map(|c| c.weight).max() else {
+            return Self {
+                owners: Box::default(),
+            };
+        };
+        let mut owners = vec![FREE; BUCKETS].into_boxed_slice();
+        let mut filled = 0;
+        loop {
+            for claim in &mut claims {
+                claim.credit += claim.weight;
+                if claim.credit < max_weight {
+                    continue;
+                }
+                claim.credit -= max_weight;
+                let bucket = claim.cursor.next_free(&owners, FREE);
+                owners[bucket] = claim.target;
+                filled += 1;
+                if filled == BUCKETS {
+                    return Self { owners };
+                }
             }
         }
     }
 }
 
+struct Claim {
+    target: u16,
+    cursor: Cursor,
+    weight: u32,
+    credit: u32,
+}
+
 struct Cursor {
     next: usize,
     skip: usize,
 }
 
 impl Cursor {
-    fn new(name: &str) -> Self {
-        let offset = xxh3_64_with_seed(name.as_bytes(), OFFSET_SEED) as usize % BUCKETS;
-        let skip = xxh3_64_with_seed(name.as_bytes(), SKIP_SEED) as usize % (BUCKETS - 1) + 1;
+    fn new(key: &[u8]) -> Self {
+        let offset = xxh3_64_with_seed(key, OFFSET_SEED) as usize % BUCKETS;
+        let skip = xxh3_64_with_seed(key, SKIP_SEED) as usize % (BUCKETS - 1) + 1;
         Self { next: offset, skip }
     }
 
--- a/crates/zinniadrift-core/src/units/mod.rs
+++ b/crates/zinniadrift-core/src/units/mod.rs
@@ -1,10 +1,12 @@
 //! Measures time, versions and weights.
 
+mod hybrid_clock;
 mod hybrid_time;
 mod mono_time;
 mod version;
 mod weight;
 
+pub use hybrid_clock::HybridClock;
 pub use hybrid_time::HybridTime;
 pub use mono_time::MonoTime;
 pub use version::Version;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,3 +1,6 @@
 //! Holds the integration tests, a module per topic.
 
+mod flows;
+mod flows_scenarios;
+mod flows_world;
 mod settings;
