--- a/crates/zinniadrift-lab/src/lib.rs
+++ b/crates/zinniadrift-lab/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod doubles;
 pub mod experiments;
+pub mod harness;
 pub mod report;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,4 +1,7 @@
 //! Holds the integration tests, a module per topic.
 
+mod flows;
+mod flows_scenarios;
+mod flows_world;
 mod report;
 mod settings;
