Add the settings distribution core and bounded document parsing

Daemons need one place that decides when to watch the platform, when to pull from a peer and which document to put in force.

--- /dev/null
+++ b/crates/zinniadrift-core/src/distribution/call_budget.rs
@@ -0,0 +1,37 @@
+use std::time::Duration;
+
+use crate::units::MonoTime;
+
+/// Limits platform calls by a token bucket.
+#[derive(Clone, Debug)]
+pub(super) struct CallBudget {
+    rate: f64,
+    burst: f64,
+    tokens: f64,
+    filled_at: MonoTime,
+}
+
+impl CallBudget {
+    pub(super) fn new(rate: f64, burst: f64) -> Self {
+        Self {
+            rate,
+            burst,
+            tokens: burst,
+            filled_at: MonoTime::default(),
+        }
+    }
+
+    /// Takes one call, or returns the time at which one is available.
+    pub(super) fn take(&mut self, now: MonoTime) -> Result<(), MonoTime> {
+        let elapsed = now.since(self.filled_at).as_secs_f64();
+        self.tokens = (self.tokens + elapsed * self.rate).min(self.burst);
+        self.filled_at = now;
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        let missing = (1.0 - self.tokens) / self.rate;
+        // Rounded up, so that the bucket holds a whole token at that time.
+        Err(now + Duration::from_secs_f64(missing) + Duration::from_micros(1))
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-core/src/distribution/pulls.rs
@@ -0,0 +1,75 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::ids::MemberId;
+use crate::units::{MonoTime, Version};
+
+/// Tracks which peers offer which version and the one pull in progress.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Pulls {
+    offers: BTreeMap<MemberId, Version>,
+    pending: Option<Pull>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Pull {
+    from: MemberId,
+    until: MonoTime,
+}
+
+impl Pulls {
+    /// Records the version of a peer.
+    pub(super) fn offer(&mut self, from: MemberId, version: Version) {
+        self.offers.insert(from, version);
+    }
+
+    /// Forgets a peer that died or did not deliver; its next heartbeat offers its version again.
+    pub(super) fn forget(&mut self, peer: MemberId) {
+        self.offers.remove(&peer);
+        self.pending = self.pending.filter(|p| p.from != peer);
+    }
+
+    /// Ends a pull that was answered.
+    pub(super) fn finish(&mut self, from: MemberId) {
+        self.pending = self.pending.filter(|p| p.from != from);
+    }
+
+    pub(super) fn has_heard(&self, peer: MemberId) -> bool {
+        self.offers.contains_key(&peer)
+    }
+
+    /// Returns the highest version that a peer offers.
+    pub(super) fn best(&self) -> Version {
+        self.offers.values().copied().max().unwrap_or_default()
+    }
+
+    /// Returns the peer of a pull that took too long, and forgets its offer.
+    pub(super) fn expire(&mut self, now: MonoTime) -> Option<MemberId> {
+        let pull = self.pending.filter(|p| now >= p.until)?;
+        self.forget(pull.from);
+        Some(pull.from)
+    }
+
+    /// Starts a pull of the highest version above `held`, from a near peer if several offer it.
+    pub(super) fn start(
+        &mut self,
+        now: MonoTime,
+        held: Version,
+        timeout: Duration,
+        is_near: impl Fn(MemberId) -> bool,
+    ) -> Option<MemberId> {
+        if self.pending.is_some() {
+            return None;
+        }
+        let above = self.offers.iter().filter(|(_, v)| **v > held);
+        let (from, _) = above.max_by_key(|(id, v)| (**v, is_near(**id), **id))?;
+        let from = *from;
+        let until = now + timeout;
+        self.pending = Some(Pull { from, until });
+        Some(from)
+    }
+
+    pub(super) fn next_deadline(&self) -> Option<MonoTime> {
+        self.pending.map(|p| p.until)
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-core/src/distribution/state_machine.rs
@@ -0,0 +1,385 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::{RngExt, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+
+use super::call_budget::CallBudget;
+use super::candidate::Candidate;
+use super::pulls::Pulls;
+use super::{
+    DistributionAction, DistributionCounters, DistributionEvent, DistributionSettings, LiveMember,
+    PlatformFailure, select_watchers,
+};
+use crate::ids::MemberId;
+use crate::settings::ServiceCatalog;
+use crate::units::{MonoTime, Version};
+
+/// Obtains settings from the platform and from peers for one daemon, and never goes back.
+///
+/// A document is put in force only if its version is above the one in force, whatever its source.
+#[derive(Debug)]
+pub struct Distribution {
+    cfg: DistributionSettings,
+    in_force: Option<Candidate>,
+    /// The newcomer's best document while it waits for the versions of its peers.
+    waiting: Option<Candidate>,
+    started: Option<MonoTime>,
+    members: Vec<LiveMember>,
+    watches: bool,
+    pulls: Pulls,
+    call: Call,
+    after: u64,
+    resync_at: MonoTime,
+    failures: u32,
+    budget: CallBudget,
+    status_due: Option<MonoTime>,
+    status_written: Option<MonoTime>,
+    rng: Xoshiro256PlusPlus,
+    counters: DistributionCounters,
+}
+
+/// Tells what the driver does with the settings object now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Call {
+    Idle { next: MonoTime },
+    Watching,
+    Reading,
+}
+
+/// Tells where a document came from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Source {
+    Platform,
+    Peer,
+}
+
+impl Distribution {
+    /// Returns the distribution of a daemon that has no settings yet.
+    pub fn new(cfg: DistributionSettings) -> Self {
+        let budget = CallBudget::new(cfg.calls_per_s, cfg.call_burst);
+        let rng = Xoshiro256PlusPlus::seed_from_u64(cfg.seed);
+        let mut new = Self {
+            cfg,
+            in_force: None,
+            waiting: None,
+            started: None,
+            members: Vec::new(),
+            watches: false,
+            pulls: Pulls::default(),
+            call: Call::Idle {
+                next: MonoTime::default(),
+            },
+            after: 0,
+            resync_at: MonoTime::default(),
+            failures: 0,
+            budget,
+            status_due: None,
+            status_written: None,
+            rng,
+            counters: DistributionCounters::default(),
+        };
+        new.set_members(Vec::new());
+        new
+    }
+
+    /// Returns the version in force, zero before the first one.
+    pub fn version(&self) -> Version {
+        self.in_force
+            .as_ref()
+            .map_or_else(Version::default, Candidate::version)
+    }
+
+    /// Returns the catalog in force.
+    pub fn catalog(&self) -> Option<&Arc<ServiceCatalog>> {
+        self.in_force.as_ref().map(|c| &c.catalog)
+    }
+
+    /// Returns the document in force as JSON, for peers that pull it.
+    pub fn document(&self) -> Option<&Bytes> {
+        self.in_force.as_ref().map(|c| &c.document)
+    }
+
+    /// Tells whether this daemon is one of its availability zone's watchers.
+    pub fn is_watcher(&self) -> bool {
+        self.watches
+    }
+
+    /// Returns the counters.
+    pub fn counters(&self) -> &DistributionCounters {
+        &self.counters
+    }
+
+    /// Handles one event and appends the resulting actions to `out`.
+    pub fn handle(
+        &mut self,
+        now: MonoTime,
+        event: DistributionEvent,
+        out: &mut Vec<DistributionAction>,
+    ) {
+        self.started.get_or_insert(now);
+        match event {
+            DistributionEvent::PlatformAnswer { revision, document } => {
+                self.take_answer(now, revision, document, out);
+            }
+            DistributionEvent::PeerVersion { from, version } => self.pulls.offer(from, version),
+            DistributionEvent::PeerDocument { from, document } => {
+                self.take_pulled(now, from, document, out);
+            }
+            DistributionEvent::Members(members) => self.set_members(members),
+            DistributionEvent::StatusWritten { ok: true } => {}
+            DistributionEvent::StatusWritten { ok: false } => {
+                self.counters.platform_failures += 1;
+                let delay = self.jitter(self.cfg.status_interval * 2);
+                self.status_due = Some(now + delay);
+            }
+            DistributionEvent::Tick => {}
+        }
+        self.end_wait(now, out);
+        self.start_pull(now, out);
+        self.start_call(now, out);
+        self.start_status(now, out);
+    }
+
+    /// Returns the next time at which a `Tick` is needed.
+    pub fn next_deadline(&self) -> Option<MonoTime> {
+        let call = match self.call {
+            Call::Idle { next } => Some(next),
+            Call::Watching | Call::Reading => None,
+        };
+        let wait = self.waiting.as_ref().and(self.started).map(|t| {
+            if self.pulls.best() > self.waiting_version() {
+                t + self.cfg.join_limit
+            } else {
+                t + self.cfg.join_wait
+            }
+        });
+        let deadlines = [call, self.pulls.next_deadline(), wait, self.status_due];
+        deadlines.into_iter().flatten().min()
+    }
+
+    fn set_members(&mut self, members: Vec<LiveMember>) {
+        let gone = self.members.iter().map(|m| m.id);
+        for id in gone.filter(|id| !members.iter().any(|m| m.id == *id)) {
+            self.pulls.forget(id);
+        }
+        self.members = members;
+        self.members.retain(|m| m.id != self.cfg.member);
+        self.members.push(LiveMember {
+            id: self.cfg.member,
+            zone: self.cfg.zone.clone(),
+        });
+        let watchers = select_watchers(&self.members, &self.cfg.zone, self.cfg.watchers_per_zone);
+        self.watches = watchers.contains(&self.cfg.member);
+    }
+
+    fn peers(&self) -> impl Iterator<Item = &LiveMember> {
+        self.members.iter().filter(|m| m.id != self.cfg.member)
+    }
+
+    fn take_answer(
+        &mut self,
+        now: MonoTime,
+        revision: u64,
+        document: Result<Option<Bytes>, PlatformFailure>,
+        out: &mut Vec<DistributionAction>,
+    ) {
+        let Ok(document) = document else {
+            self.counters.platform_failures += 1;
+            // The store may come back with an older state, whose revisions are lower.
+            self.after = 0;
+            let delay = self.retry_delay();
+            self.failures += 1;
+            self.call = Call::Idle { next: now + delay };
+            return;
+        };
+        if self.failures > 0 && self.in_force.is_some() {
+            // The status may have changed unseen during the outage.
+            self.request_status(now);
+        }
+        self.failures = 0;
+        if let Some(document) = document {
+            self.after = revision;
+            self.offer(now, document, Source::Platform, out);
+        }
+        let next = if self.watches {
+            now
+        } else {
+            now + self.jitter(self.cfg.poll_interval)
+        };
+        self.call = Call::Idle { next };
+    }
+
+    fn take_pulled(
+        &mut self,
+        now: MonoTime,
+        from: MemberId,
+        document: Option<Bytes>,
+        out: &mut Vec<DistributionAction>,
+    ) {
+        let held = self.version().max(self.waiting_version());
+        if let Some(document) = document {
+            self.offer(now, document, Source::Peer, out);
+        }
+        if self.version().max(self.waiting_version()) > held {
+            self.pulls.finish(from);
+        } else {
+            self.counters.failed_pulls += 1;
+            self.pulls.forget(from);
+        }
+    }
+
+    /// Judges one document and puts it in force if it is newer.
+    fn offer(
+        &mut self,
+        now: MonoTime,
+        document: Bytes,
+        source: Source,
+        out: &mut Vec<DistributionAction>,
+    ) {
+        let Some(new) = Candidate::parse(document) else {
+            self.counters.invalid_documents += 1;
+            return;
+        };
+        if let Some(held) = &self.in_force {
+            let differs = new.edit_id != held.edit_id;
+            if self.cfg.refuse_lower && new.version() <= held.version() {
+                if new.version() < held.version() {
+                    self.counters.lower_versions += 1;
+                } else if differs {
+                    self.counters.conflicting_versions += 1;
+                }
+                if differs && source == Source::Platform {
+                    // The status shows editors that this store is behind.
+                    self.request_status(now);
+                }
+                return;
+            }
+            if differs || new.version() != held.version() {
+                self.install(now, new, out);
+            }
+            return;
+        }
+        if new.version() > self.waiting_version() {
+            self.waiting = Some(new);
+        }
+    }
+
+    /// Ends a newcomer's wait once no peer is known to have a higher version.
+    ///
+    /// Without the wait, a restarted daemon would serve an older state of the platform's store
+    /// until the first heartbeat of a peer.
+    fn end_wait(&mut self, now: MonoTime, out: &mut Vec<DistributionAction>) {
+        let Some(started) = self.started else { return };
+        let has_peers = self.peers().next().is_some();
+        let all_heard = has_peers && self.peers().all(|m| self.pulls.has_heard(m.id));
+        let alone = !has_peers && !self.cfg.expects_peers;
+        let heard = alone || all_heard || now >= started + self.cfg.join_wait;
+        let is_best = self.waiting_version() >= self.pulls.best();
+        let expired = now >= started + self.cfg.join_limit;
+        let ready = !self.cfg.refuse_lower || (heard && is_best) || expired;
+        if let Some(new) = self.waiting.take_if(|_| ready) {
+            self.install(now, new, out);
+        }
+    }
+
+    fn install(&mut self, now: MonoTime, new: Candidate, out: &mut Vec<DistributionAction>) {
+        let version = new.version();
+        out.push(DistributionAction::Install(Arc::clone(&new.catalog)));
+        out.push(DistributionAction::Notify { version });
+        self.in_force = Some(new);
+        self.request_status(now);
+    }
+
+    fn start_pull(&mut self, now: MonoTime, out: &mut Vec<DistributionAction>) {
+        if self.pulls.expire(now).is_some() {
+            self.counters.failed_pulls += 1;
+        }
+        let held = self.version().max(self.waiting_version());
+        let members = &self.members;
+        let zone = &self.cfg.zone;
+        let is_near = |id| members.iter().any(|m| m.id == id && m.zone == *zone);
+        let timeout = self.cfg.pull_timeout;
+        if let Some(peer) = self.pulls.start(now, held, timeout, is_near) {
+            self.counters.pulls += 1;
+            out.push(DistributionAction::PullFrom { peer });
+        }
+    }
+
+    fn start_call(&mut self, now: MonoTime, out: &mut Vec<DistributionAction>) {
+        match self.call {
+            Call::Watching if !self.watches => {
+                out.push(DistributionAction::StopWatch);
+                let next = now + self.jitter(self.cfg.poll_interval);
+                self.call = Call::Idle { next };
+            }
+            Call::Idle { next } => {
+                // A new watcher does not wait for its next poll, but does for a retry.
+                let due = now >= next || (self.watches && self.failures == 0);
+                if due {
+                    self.call_platform(now, out);
+                }
+            }
+            Call::Watching | Call::Reading => {}
+        }
+    }
+
+    fn call_platform(&mut self, now: MonoTime, out: &mut Vec<DistributionAction>) {
+        if let Err(next) = self.budget.take(now) {
+            self.call = Call::Idle { next };
+            return;
+        }
+        if now >= self.resync_at {
+            self.resync_at = now + self.jitter(self.cfg.resync_interval);
+            self.after = 0;
+        }
+        self.counters.platform_calls += 1;
+        let wait = if self.watches {
+            self.call = Call::Watching;
+            self.cfg.watch_wait
+        } else {
+            self.call = Call::Reading;
+            Duration::ZERO
+        };
+        let after = self.after;
+        out.push(DistributionAction::WatchPlatform { after, wait });
+    }
+
+    fn request_status(&mut self, now: MonoTime) {
+        let earliest = self
+            .status_written
+            .map_or(now, |t| now.max(t + self.cfg.status_interval));
+        self.status_due = Some(earliest);
+    }
+
+    fn start_status(&mut self, now: MonoTime, out: &mut Vec<DistributionAction>) {
+        if self.status_due.is_none_or(|due| now < due) {
+            return;
+        }
+        if let Err(next) = self.budget.take(now) {
+            self.status_due = Some(next);
+            return;
+        }
+        self.counters.platform_calls += 1;
+        self.status_due = None;
+        self.status_written = Some(now);
+        out.push(DistributionAction::WriteStatus);
+    }
+
+    fn waiting_version(&self) -> Version {
+        self.waiting
+            .as_ref()
+            .map_or_else(Version::default, Candidate::version)
+    }
+
+    fn retry_delay(&mut self) -> Duration {
+        let delay = self.cfg.retry_delay * 2_u32.saturating_pow(self.failures.min(16));
+        self.jitter(delay.min(self.cfg.retry_delay_max))
+    }
+
+    /// Returns a time from half of `mean` to one and a half, so that daemons do not call together.
+    fn jitter(&mut self, mean: Duration) -> Duration {
+        mean.mul_f64(self.rng.random_range(0.5..1.5))
+    }
+}
--- a/crates/zinniadrift-core/src/lib.rs
+++ b/crates/zinniadrift-core/src/lib.rs
@@ -12,6 +12,7 @@
 //! ```
 
 pub mod balancer;
+pub mod distribution;
 pub mod error;
 pub mod flow;
 pub mod gateway;
--- a/crates/zinniadrift-core/src/settings/catalog.rs
+++ b/crates/zinniadrift-core/src/settings/catalog.rs
@@ -23,14 +23,7 @@
     ///
     /// Returns every fault found, or a single one if the JSON does not have the document's shape.
     pub fn parse(json: &[u8]) -> Result<Self, Vec<SettingsError>> {
-        let mut de = serde_json::Deserializer::from_slice(json);
-        let doc: Document = serde_path_to_error::deserialize(&mut de).map_err(|e| {
-            vec![SettingsError {
-                path: format!("$.{}", e.path()).into(),
-                value: "the value".into(),
-                expected: e.inner().to_string().into(),
-            }]
-        })?;
+        let doc = Document::parse(json).map_err(|fault| vec![fault])?;
         Self::check(&doc)
     }
 
--- a/crates/zinniadrift-core/src/settings/mod.rs
+++ b/crates/zinniadrift-core/src/settings/mod.rs
@@ -2,6 +2,7 @@
 
 mod catalog;
 mod document;
+mod limits;
 mod node;
 mod policies;
 mod service;
@@ -10,6 +11,7 @@
 
 pub use catalog::ServiceCatalog;
 pub use document::Document;
+pub use limits::{MAX_DEPTH, MAX_DOCUMENT_BYTES};
 pub use node::{Node, ServiceNode, TargetNode};
 pub use policies::{ClaimPolicies, FlowPolicies, Policies, RequestPolicies};
 pub use service::Service;
--- a/crates/zinniadrift-platform/src/settings_repository.rs
+++ b/crates/zinniadrift-platform/src/settings_repository.rs
@@ -77,6 +77,7 @@
         let doc = Document {
             version,
             edit_id,
+            recent_edits: Vec::new(),
             tree,
         };
         if let Err(faults) = ServiceCatalog::check(&doc) {
