Check trees as a whole, rebase edits and split zinniadrift-ctl by command

A tree with several faults was reported one fault at a time, the edit of one operator could be lost under that of another, and a lost answer left the operator without a result.

- All faults of shape, range, names, duplicate addresses and keys, and id collisions are reported at once, with JSON path, value and what is accepted.
- An edit is carried over concurrent edits of other settings; the same setting is refused with both values.
Lost answers are settled by the edit id, also under later edits.
A store behind any daemon's status is refused.

--- a/crates/zinniadrift-core/src/distribution/settings.rs
+++ b/crates/zinniadrift-core/src/distribution/settings.rs
@@ -21,9 +21,11 @@
     pub watch_wait: Duration,
     /// The mean time between two reads by a daemon that does not watch.
     pub poll_interval: Duration,
-    /// The time after which a watcher reads the object regardless of its revision, because a
-    /// restored store may count revisions from a lower number.
+    /// The shortest time after which the object is read regardless of its revision, because a
+    /// restored store may count revisions from a lower number, which a watch does not show.
     pub resync_interval: Duration,
+    /// Bytes per second that these reads may cost; a large document is read less often.
+    pub resync_bytes_per_s: f64,
     /// The delay after the first failed call; it doubles with each further failure.
     pub retry_delay: Duration,
     /// The longest delay between two failed calls.
@@ -55,7 +57,8 @@
             watchers_per_zone: 2,
             watch_wait: Duration::from_secs(30),
             poll_interval: Duration::from_secs(30),
-            resync_interval: Duration::from_secs(300),
+            resync_interval: Duration::from_secs(30),
+            resync_bytes_per_s: 500.0,
             retry_delay: Duration::from_millis(500),
             retry_delay_max: Duration::from_secs(5),
             pull_timeout: Duration::from_secs(1),
--- a/crates/zinniadrift-core/src/distribution/state_machine.rs
+++ b/crates/zinniadrift-core/src/distribution/state_machine.rs
@@ -331,7 +331,9 @@
             return;
         }
         if now >= self.resync_at {
-            self.resync_at = now + self.jitter(self.cfg.resync_interval);
+            let bytes = self.document().map_or(0, Bytes::len) as f64;
+            let spread = Duration::from_secs_f64(bytes / self.cfg.resync_bytes_per_s);
+            self.resync_at = now + self.cfg.resync_interval.max(spread);
             self.after = 0;
         }
         self.counters.platform_calls += 1;
--- /dev/null
+++ b/crates/zinniadrift-core/src/settings/checker.rs
@@ -0,0 +1,228 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde_json::{Map, Value};
+
+use super::limits::{MAX_DEPTH, MAX_FAULTS, NAME_RULE, is_name};
+use super::policies::overlay;
+use super::{
+    Node, Policies, PolicyRange, Service, ServiceNode, SettingsError, Target, TargetNode, shape,
+};
+use crate::ids::{ServiceId, TargetId};
+
+/// Walks a tree, flattens it into services and collects every fault.
+#[derive(Debug, Default)]
+pub(super) struct Checker {
+    services: Vec<Service>,
+    faults: Vec<SettingsError>,
+    /// The JSON path of each service's node, to name it in faults between services.
+    places: BTreeMap<Box<str>, Box<str>>,
+}
+
+/// Is a node's position in the tree.
+#[derive(Clone, Copy, Debug)]
+struct Place<'a> {
+    path: &'a str,
+    json_path: &'a str,
+    depth: usize,
+}
+
+impl Checker {
+    /// Returns the services sorted by path, or every fault; `root` is the tree's JSON path.
+    pub(super) fn check(tree: &Node, root: &str) -> Result<Vec<Service>, Vec<SettingsError>> {
+        let mut checker = Self::default();
+        let defaults = match serde_json::to_value(Policies::default()) {
+            Ok(Value::Object(map)) => map,
+            _ => Map::new(),
+        };
+        let place = Place {
+            path: "",
+            json_path: root,
+            depth: 0,
+        };
+        checker.visit(tree, place, &defaults, &defaults);
+        checker.check_services();
+        if !checker.faults.is_empty() {
+            checker.faults.truncate(MAX_FAULTS);
+            return Err(checker.faults);
+        }
+        checker.services.sort_by(|a, b| a.path.cmp(&b.path));
+        Ok(checker.services)
+    }
+
+    fn visit(
+        &mut self,
+        node: &Node,
+        at: Place<'_>,
+        inherited: &Map<String, Value>,
+        defaults: &Map<String, Value>,
+    ) {
+        if at.depth > MAX_DEPTH {
+            let expected = format!("at most {MAX_DEPTH} levels of nodes");
+            self.fault(at.json_path, "a node", &expected);
+            return;
+        }
+        let mut effective = inherited.clone();
+        if !node.policies.is_empty() {
+            overlay(&mut effective, &self.accepted(node, at, defaults));
+        }
+        match &node.service {
+            Some(service) => self.add(service, &node.targets, at, effective.clone()),
+            None if !node.targets.is_empty() => self.fault(
+                &format!("{}.targets", at.json_path),
+                "targets of a node without a service",
+                "targets only beside a service",
+            ),
+            None => {}
+        }
+        for (name, child) in &node.nodes {
+            let json_path = format!("{}.nodes.{name}", at.json_path);
+            self.check_name(name, &json_path);
+            let path = match at.path {
+                "" => name.to_string(),
+                parent => format!("{parent}/{name}"),
+            };
+            let place = Place {
+                path: &path,
+                json_path: &json_path,
+                depth: at.depth + 1,
+            };
+            self.visit(child, place, &effective, defaults);
+        }
+    }
+
+    /// Returns the node's own policies that are accepted and reports the others.
+    ///
+    /// They are checked on top of the defaults, so that a fault is reported once, at its origin,
+    /// and not again at every node that inherits it.
+    fn accepted(
+        &mut self,
+        node: &Node,
+        at: Place<'_>,
+        defaults: &Map<String, Value>,
+    ) -> Map<String, Value> {
+        let mut full = defaults.clone();
+        overlay(&mut full, &node.policies);
+        let root = format!("{}.policies", at.json_path);
+        let shaped = shape::reshape::<Policies>(Value::Object(full), &root);
+        let is_sound = shaped.faults.is_empty();
+        self.faults.extend(shaped.faults);
+        let ranges = PolicyRange::check(&node.policies, at.json_path);
+        self.faults.extend(ranges);
+        match shaped.json {
+            _ if is_sound => node.policies.clone(),
+            Value::Object(map) => map,
+            _ => Map::new(),
+        }
+    }
+
+    fn add(
+        &mut self,
+        service: &ServiceNode,
+        nodes: &BTreeMap<Box<str>, TargetNode>,
+        at: Place<'_>,
+        effective: Map<String, Value>,
+    ) {
+        if at.path.is_empty() {
+            let path = format!("{}.service", at.json_path);
+            self.fault(&path, "a service of the root", "services of named nodes");
+        }
+        let address = SocketAddr::V4(service.address);
+        self.check_address(address, &format!("{}.service.address", at.json_path));
+        let mut owners: BTreeMap<SocketAddr, &str> = BTreeMap::new();
+        let mut targets = Vec::with_capacity(nodes.len());
+        for (name, t) in nodes {
+            let json_path = format!("{}.targets.{name}", at.json_path);
+            self.check_target(name, t, &json_path);
+            if let Some(owner) = owners.insert(t.address, name) {
+                let expected = format!("another address than that of target {owner}");
+                let path = format!("{json_path}.address");
+                self.fault(&path, &t.address.to_string(), &expected);
+            }
+            targets.push(Target {
+                id: TargetId::from_name(at.path, name),
+                name: name.clone(),
+                address: t.address,
+                zone: t.zone.clone(),
+                weight: t.weight,
+                state: t.state,
+                slots: t.slots,
+            });
+        }
+        let policies = serde_json::from_value(Value::Object(effective)).unwrap_or_default();
+        self.places.insert(at.path.into(), at.json_path.into());
+        self.services.push(Service {
+            id: ServiceId::from_name(at.path),
+            path: at.path.into(),
+            address: service.address,
+            targets,
+            policies,
+        });
+    }
+
+    fn check_target(&mut self, name: &str, target: &TargetNode, json_path: &str) {
+        self.check_name(name, json_path);
+        self.check_address(target.address, &format!("{json_path}.address"));
+        let zone: &str = target.zone.as_ref();
+        if !is_name(zone) {
+            self.fault(&format!("{json_path}.zone"), &quote(zone), NAME_RULE);
+        }
+        if target.slots == 0 {
+            let path = format!("{json_path}.slots");
+            self.fault(&path, "0", "an integer from 1 to 65535");
+        }
+    }
+
+    fn check_name(&mut self, name: &str, json_path: &str) {
+        if !is_name(name) {
+            self.fault(json_path, &quote(name), NAME_RULE);
+        }
+    }
+
+    fn check_address(&mut self, address: SocketAddr, path: &str) {
+        if address.port() == 0 || address.ip().is_unspecified() {
+            let expected = "a single host's address and a port from 1 to 65535";
+            self.fault(path, &quote(&address.to_string()), expected);
+        }
+    }
+
+    /// Finds services that share an address, and ids that two names share.
+    fn check_services(&mut self) {
+        let services = std::mem::take(&mut self.services);
+        let mut addresses = BTreeMap::new();
+        let mut service_ids = BTreeMap::new();
+        let mut target_ids = BTreeMap::new();
+        for s in &services {
+            let place = self.places.get(&s.path).cloned().unwrap_or_default();
+            if let Some(other) = addresses.insert(s.address, &s.path) {
+                let path = format!("{place}.service.address");
+                let expected = format!("another address than that of service {other}");
+                self.fault(&path, &quote(&s.address.to_string()), &expected);
+            }
+            if let Some(other) = service_ids.insert(s.id, &s.path) {
+                self.collision(&place, &s.path, other);
+            }
+            for t in &s.targets {
+                let name = format!("{}/{}", s.path, t.name);
+                let json_path = format!("{place}.targets.{}", t.name);
+                if let Some(other) = target_ids.insert(t.id, name.clone()) {
+                    self.collision(&json_path, &name, &other);
+                }
+            }
+        }
+        self.services = services;
+    }
+
+    fn collision(&mut self, json_path: &str, name: &str, other: &str) {
+        let expected = format!("another name, as the id of {other} is the same");
+        self.fault(json_path, &quote(name), &expected);
+    }
+
+    fn fault(&mut self, path: &str, value: &str, expected: &str) {
+        self.faults.push(SettingsError::new(path, value, expected));
+    }
+}
+
+fn quote(text: &str) -> String {
+    Value::from(text).to_string()
+}
--- /dev/null
+++ b/crates/zinniadrift-core/src/settings/duplicate_keys.rs
@@ -0,0 +1,91 @@
+use std::collections::BTreeSet;
+use std::fmt;
+
+use serde::de::{DeserializeSeed, Deserializer, IgnoredAny, MapAccess, SeqAccess, Visitor};
+
+use super::SettingsError;
+use super::limits::MAX_FAULTS;
+
+/// Finds keys that occur twice in an object.
+///
+/// The JSON parser keeps the last of them, so a copied target whose name was not changed would
+/// silently replace the first one.
+pub(super) fn find(json: &[u8], root: &str) -> Vec<SettingsError> {
+    let mut faults = Vec::new();
+    let mut de = serde_json::Deserializer::from_slice(json);
+    let scan = Scan {
+        path: root.to_owned(),
+        faults: &mut faults,
+    };
+    // Faults of the syntax are reported by the parse itself.
+    let _ = scan.deserialize(&mut de);
+    faults.truncate(MAX_FAULTS);
+    faults
+}
+
+struct Scan<'a> {
+    path: String,
+    faults: &'a mut Vec<SettingsError>,
+}
+
+impl<'de> DeserializeSeed<'de> for Scan<'_> {
+    type Value = ();
+
+    fn deserialize<D: Deserializer<'de>>(self, de: D) -> Result<(), D::Error> {
+        de.deserialize_any(self)
+    }
+}
+
+impl<'de> Visitor<'de> for Scan<'_> {
+    type Value = ();
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("JSON")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<(), A::Error> {
+        let mut seen = BTreeSet::new();
+        while let Some(key) = map.next_key::<String>()? {
+            let path = format!("{}.{key}", self.path);
+            if seen.contains(&key) {
+                let fault = SettingsError::new(&path, "a second value", "each key once");
+                self.faults.push(fault);
+            }
+            seen.insert(key);
+            map.next_value_seed(Scan {
+                path,
+                faults: self.faults,
+            })?;
+        }
+        Ok(())
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<(), A::Error> {
+        while seq.next_element::<IgnoredAny>()?.is_some() {}
+        Ok(())
+    }
+
+    fn visit_bool<E>(self, _: bool) -> Result<(), E> {
+        Ok(())
+    }
+
+    fn visit_i64<E>(self, _: i64) -> Result<(), E> {
+        Ok(())
+    }
+
+    fn visit_u64<E>(self, _: u64) -> Result<(), E> {
+        Ok(())
+    }
+
+    fn visit_f64<E>(self, _: f64) -> Result<(), E> {
+        Ok(())
+    }
+
+    fn visit_str<E>(self, _: &str) -> Result<(), E> {
+        Ok(())
+    }
+
+    fn visit_unit<E>(self) -> Result<(), E> {
+        Ok(())
+    }
+}
--- a/crates/zinniadrift-core/src/settings/mod.rs
+++ b/crates/zinniadrift-core/src/settings/mod.rs
@@ -1,19 +1,32 @@
 //! Holds the tree of settings and its checked, flattened form.
 
 mod catalog;
+mod checker;
 mod document;
+mod duplicate_keys;
+mod explanation;
 mod limits;
 mod node;
 mod policies;
+mod policy_range;
+mod rebase;
 mod service;
+mod setting_change;
+mod setting_path;
 mod settings_error;
+mod shape;
 mod target;
 
 pub use catalog::ServiceCatalog;
-pub use document::Document;
-pub use limits::{MAX_DEPTH, MAX_DOCUMENT_BYTES};
+pub use document::{Document, RecentEdit};
+pub use explanation::{Explanation, Origin};
+pub use limits::{MAX_DEPTH, MAX_DOCUMENT_BYTES, MAX_FAULTS, MAX_NAME_BYTES};
 pub use node::{Node, ServiceNode, TargetNode};
 pub use policies::{ClaimPolicies, FlowPolicies, Policies, RequestPolicies};
+pub use policy_range::{POLICY_RANGES, PolicyRange};
+pub use rebase::SettingConflict;
 pub use service::Service;
+pub use setting_change::SettingChange;
+pub use setting_path::{SettingPath, SettingPathError};
 pub use settings_error::SettingsError;
 pub use target::{Target, TargetState};
--- a/crates/zinniadrift-core/src/settings/node.rs
+++ b/crates/zinniadrift-core/src/settings/node.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
 
-use super::TargetState;
+use super::checker::Checker;
+use super::{SettingChange, SettingPath, SettingsError, TargetState, shape};
 use crate::ids::ZoneName;
 use crate::units::Weight;
 
@@ -26,6 +27,75 @@
     pub nodes: BTreeMap<Box<str>, Node>,
 }
 
+impl Node {
+    /// Reads a tree from a file's text and checks it as a whole; JSON paths start at the tree.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault found.
+    pub fn parse(json: &[u8]) -> Result<Self, Vec<SettingsError>> {
+        let shaped = shape::read::<Self>(json, "$");
+        let mut faults = shaped.faults;
+        if let Some(Err(further)) = shaped.value.as_ref().map(Self::check) {
+            faults.extend(further);
+        }
+        match shaped.value {
+            Some(tree) if faults.is_empty() => Ok(tree),
+            _ => Err(faults),
+        }
+    }
+
+    /// Checks a tree as a whole; JSON paths start at the tree.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault found.
+    pub fn check(&self) -> Result<(), Vec<SettingsError>> {
+        Checker::check(self, "$").map(|_| ())
+    }
+
+    /// Returns this tree with one setting changed, or removed if `value` is `None`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the setting's node does not exist, and returns every fault of the changed tree.
+    pub fn with_setting(
+        &self,
+        path: &SettingPath,
+        value: Option<Value>,
+    ) -> Result<Self, Vec<SettingsError>> {
+        let (names, _) = path.split();
+        if self.descendant(&names.join("/")).is_none() {
+            let expected = "a setting of an existing node";
+            return Err(vec![SettingsError::new(
+                &path.to_string(),
+                "the node",
+                expected,
+            )]);
+        }
+        let mut json = serde_json::to_value(self).unwrap_or_default();
+        let change = SettingChange {
+            path: path.clone(),
+            before: None,
+            after: value,
+        };
+        SettingChange::apply_all(&[change], &mut json);
+        Self::parse(json.to_string().as_bytes())
+    }
+
+    /// Returns the node at a slash-separated path; the empty path is this node.
+    pub fn descendant(&self, path: &str) -> Option<&Self> {
+        let mut names = path.split('/').filter(|n| !n.is_empty());
+        names.try_fold(self, |node, name| node.nodes.get(name))
+    }
+
+    /// Returns the node at a slash-separated path for changes.
+    pub fn descendant_mut(&mut self, path: &str) -> Option<&mut Self> {
+        let mut names = path.split('/').filter(|n| !n.is_empty());
+        names.try_fold(self, |node, name| node.nodes.get_mut(name))
+    }
+}
+
 /// Describes how callers reach a service.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
--- /dev/null
+++ b/crates/zinniadrift-core/src/settings/shape.rs
@@ -0,0 +1,141 @@
+use std::collections::BTreeSet;
+
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use serde_path_to_error::{Path, Segment};
+
+use super::limits::MAX_FAULTS;
+use super::{SettingsError, duplicate_keys, limits};
+
+/// Is a value read from JSON, with all places at which the JSON does not have the value's shape.
+#[derive(Debug)]
+pub(super) struct Shaped<T> {
+    /// The value without its faulty parts; `None` if nothing is left of it.
+    pub(super) value: Option<T>,
+    /// The JSON without its faulty parts.
+    pub(super) json: Value,
+    pub(super) faults: Vec<SettingsError>,
+}
+
+/// Reads JSON text and finds every fault of its shape.
+pub(super) fn read<T: DeserializeOwned>(json: &[u8], root: &str) -> Shaped<T> {
+    let fail = |fault| Shaped {
+        value: None,
+        json: Value::Null,
+        faults: vec![fault],
+    };
+    if let Err(fault) = limits::check_size(json, root) {
+        return fail(fault);
+    }
+    match serde_json::from_slice::<Value>(json) {
+        Ok(value) => {
+            let mut shaped = reshape(value, root);
+            shaped.faults.splice(0..0, duplicate_keys::find(json, root));
+            shaped
+        }
+        Err(e) => fail(SettingsError::new(root, "the text", &format!("JSON; {e}"))),
+    }
+}
+
+/// Converts JSON to a value; each faulty part is reported and left out, then the rest is tried.
+pub(super) fn reshape<T: DeserializeOwned>(mut json: Value, root: &str) -> Shaped<T> {
+    let mut faults = Vec::new();
+    let mut dropped = BTreeSet::new();
+    let value = loop {
+        let e = match serde_path_to_error::deserialize::<_, T>(&json) {
+            Ok(value) => break Some(value),
+            Err(e) => e,
+        };
+        let text = e.inner().to_string();
+        let keys: Vec<String> = e.path().iter().map(ToString::to_string).collect();
+        let missing = missing_field(&text).map(|field| {
+            let mut place = keys.clone();
+            place.push(field.into());
+            place
+        });
+        // A field that was left out as faulty is not also reported as missing.
+        if missing.is_none_or(|place| !dropped.contains(&place)) {
+            faults.push(fault_of(root, e.path(), &text, Some(&json)));
+        }
+        if faults.len() >= MAX_FAULTS || !remove(&mut json, &keys) {
+            break None;
+        }
+        dropped.insert(keys);
+    };
+    Shaped {
+        value,
+        json,
+        faults,
+    }
+}
+
+/// Describes a fault that the parser reports; `json` is the whole value, if it was readable.
+pub(super) fn fault_of(root: &str, path: &Path, text: &str, json: Option<&Value>) -> SettingsError {
+    let mut place = root.to_owned();
+    for segment in path {
+        place.push('.');
+        place.push_str(&segment.to_string());
+    }
+    if let Some(field) = missing_field(text) {
+        return SettingsError::new(&format!("{place}.{field}"), "nothing", "a value");
+    }
+    let found = json.and_then(|json| lookup(json, path));
+    let value = match text.split_once(", expected") {
+        Some((found, _)) if found.starts_with("unknown field") => "an unknown field".into(),
+        _ => found.map_or_else(|| "the value".into(), Value::to_string),
+    };
+    SettingsError::new(&place, &value, &expectation(text))
+}
+
+fn missing_field(text: &str) -> Option<&str> {
+    let rest = text.strip_prefix("missing field `")?;
+    rest.split('`').next()
+}
+
+/// Turns the parser's message into words about what would be accepted.
+fn expectation(text: &str) -> String {
+    if text.contains("socket address") {
+        return "an address and port, such as 127.0.0.1:80".into();
+    }
+    let expected = match text.rsplit_once("expected ") {
+        Some((_, expected)) => expected,
+        None => return format!("another value ({text})"),
+    };
+    // The parser adds the place in the text, which the JSON path replaces.
+    let expected = expected.split(" at line ").next().unwrap_or(expected);
+    match expected {
+        "u16" => "an integer from 0 to 65535".into(),
+        "u32" => "an integer from 0 to 4294967295".into(),
+        "u64" | "usize" => "an integer of at least 0".into(),
+        "f64" => "a number".into(),
+        "a map" => "an object".into(),
+        other if other.starts_with("struct ") => "an object".into(),
+        other => other.into(),
+    }
+}
+
+fn lookup<'a>(json: &'a Value, path: &Path) -> Option<&'a Value> {
+    path.iter().try_fold(json, |value, segment| match segment {
+        Segment::Map { key } => value.get(key),
+        Segment::Seq { index } => value.get(index),
+        Segment::Enum { .. } | Segment::Unknown => None,
+    })
+}
+
+/// Removes the value at `keys`; returns false if there is none.
+fn remove(json: &mut Value, keys: &[String]) -> bool {
+    let Some((last, parents)) = keys.split_last() else {
+        return false;
+    };
+    let mut value = json;
+    for key in parents {
+        match value.get_mut(key) {
+            Some(next) => value = next,
+            None => return false,
+        }
+    }
+    match value {
+        Value::Object(map) => map.remove(last).is_some(),
+        _ => false,
+    }
+}
--- a/crates/zinniadrift-ctl/src/cmd/apply.rs
+++ b/crates/zinniadrift-ctl/src/cmd/apply.rs
@@ -1,77 +1,49 @@
 //! Replaces the settings tree.
 
-use std::time::Duration;
+use std::path::PathBuf;
 
 use pico_args::Arguments;
-use tokio::time::Instant;
 
-use zinniadrift_core::settings::Node;
-use zinniadrift_platform::{HttpStore, SettingsRepository};
+use zinniadrift_core::units::Version;
+use zinniadrift_platform::RepositorySettings;
 
-use super::status::read_status;
-use super::{Common, block_on, finish};
+use super::command::Command;
+use super::common::read_tree;
+use super::in_force::Wait;
+use super::{Common, block_on, finish, report};
 use crate::ctl_error::CtlError;
 
-const POLL_INTERVAL: Duration = Duration::from_millis(50);
+pub(super) const COMMAND: Command = Command {
+    name: "apply",
+    arguments: "--file FILE [--based-on VERSION] [--wait SECONDS] [--recover]",
+    about: "Replaces the stored tree by the one in FILE.",
+    options: "--file FILE          a settings tree as JSON\n\
+              --based-on VERSION   refuse if another version is stored\n\
+              --wait SECONDS       wait until all daemons have the edit in force\n\
+              --recover            replace a store that went back to an older state",
+    execute,
+};
 
-pub(crate) fn execute(mut args: Arguments) -> Result<(), CtlError> {
+fn execute(mut args: Arguments) -> Result<(), CtlError> {
     let common = Common::parse(&mut args)?;
-    let path: String = args
-        .value_from_str("--file")
-        .map_err(|e| CtlError::usage(e.to_string()))?;
-    let wait: Option<u64> = args
-        .opt_value_from_str("--wait")
-        .map_err(|e| CtlError::usage(e.to_string()))?;
+    let path: PathBuf = args.value_from_str("--file")?;
+    let based_on: Option<Version> = args.opt_value_from_str("--based-on")?;
+    let recover = args.contains("--recover");
+    let wait = Wait::parse(&mut args)?;
     finish(args)?;
-    let text = std::fs::read(&path).map_err(|source| CtlError::ReadFile {
-        path: path.clone().into(),
-        source,
-    })?;
-    let tree: Node = serde_json::from_slice(&text).map_err(|e| CtlError::InvalidFile {
-        path: path.into(),
-        text: e.to_string().into(),
-    })?;
+    let tree = read_tree(&path)?;
+    let repository = common.repository_with(RepositorySettings {
+        recover,
+        ..RepositorySettings::default()
+    });
     block_on(async {
-        let store = HttpStore::new(common.platform);
-        let edit = SettingsRepository::new(store.clone(), &common.user)
-            .apply(tree)
-            .await?;
-        println!("accepted as version {}", edit.version);
-        match wait {
-            Some(seconds) => {
-                let deadline = Instant::now() + Duration::from_secs(seconds);
-                wait_in_force(&store, &common.user, edit.version.get(), deadline).await
-            }
-            None => Ok(()),
+        let base = repository.read().await?;
+        let stored = base.document.version;
+        if let Some(based_on) = based_on.filter(|v| *v != stored) {
+            return Err(CtlError::Moved { stored, based_on });
         }
+        let edit = repository.submit(&base, &tree).await?;
+        report(&edit);
+        wait.until_in_force(&repository, edit.version).await
     })
 }
-
-async fn wait_in_force(
-    store: &HttpStore,
-    user: &str,
-    version: u64,
-    deadline: Instant,
-) -> Result<(), CtlError> {
-    loop {
-        let daemons = read_status(store, user).await?;
-        let missing: Vec<&str> = daemons
-            .iter()
-            .filter(|d| d.version < version)
-            .map(|d| &*d.name)
-            .collect();
-        if missing.is_empty() && !daemons.is_empty() {
-            for d in &daemons {
-                println!("{} {}: version {} in force", d.zone, d.name, d.version);
-            }
-            return Ok(());
-        }
-        if Instant::now() >= deadline {
-            return Err(CtlError::NotInForce {
-                version,
-                missing: missing.join(", ").into(),
-            });
-        }
-        tokio::time::sleep(POLL_INTERVAL).await;
-    }
-}
--- /dev/null
+++ b/crates/zinniadrift-ctl/src/cmd/common.rs
@@ -0,0 +1,79 @@
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use pico_args::Arguments;
+
+use zinniadrift_core::settings::Node;
+use zinniadrift_platform::{Edit, HttpStore, RepositorySettings, SettingsRepository};
+
+use crate::ctl_error::CtlError;
+
+/// Holds the arguments that every command takes.
+pub(super) struct Common {
+    platform: SocketAddr,
+    user: Box<str>,
+}
+
+impl Common {
+    pub(super) fn parse(args: &mut Arguments) -> Result<Self, CtlError> {
+        let platform = args.value_from_str("--platform")?;
+        let user: String = args.value_from_str("--user")?;
+        Ok(Self {
+            platform,
+            user: user.into(),
+        })
+    }
+
+    pub(super) fn repository(&self) -> SettingsRepository<HttpStore> {
+        self.repository_with(RepositorySettings::default())
+    }
+
+    pub(super) fn repository_with(&self, cfg: RepositorySettings) -> SettingsRepository<HttpStore> {
+        SettingsRepository::with_settings(HttpStore::new(self.platform), &self.user, cfg)
+    }
+}
+
+/// Refuses arguments that no command took.
+pub(super) fn finish(args: Arguments) -> Result<(), CtlError> {
+    match args.finish().first() {
+        Some(arg) => {
+            let text = format!("unknown argument {}; see --help", arg.display());
+            Err(CtlError::usage(text))
+        }
+        None => Ok(()),
+    }
+}
+
+/// Reads a settings tree from a file and checks it.
+pub(super) fn read_tree(path: &PathBuf) -> Result<Node, CtlError> {
+    let shown: Box<str> = path.display().to_string().into();
+    let text = std::fs::read(path).map_err(|source| CtlError::ReadFile {
+        path: shown.clone(),
+        source,
+    })?;
+    Node::parse(&text).map_err(|faults| CtlError::InvalidFile {
+        path: shown,
+        faults,
+    })
+}
+
+/// Prints what an accepted edit changed.
+pub(super) fn report(edit: &Edit) {
+    for change in &edit.changes {
+        println!("{change}");
+    }
+    if edit.changes.is_empty() {
+        println!("no change: version {} holds these settings", edit.version);
+    } else {
+        println!("accepted as version {}", edit.version);
+    }
+}
+
+/// Runs a future on a runtime of its own.
+pub(super) fn block_on<T>(fut: impl Future<Output = Result<T, CtlError>>) -> Result<T, CtlError> {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|source| CtlError::Start { source })?
+        .block_on(fut)
+}
--- /dev/null
+++ b/crates/zinniadrift-ctl/src/cmd/get.rs
@@ -0,0 +1,48 @@
+//! Prints the stored settings tree.
+
+use pico_args::Arguments;
+
+use zinniadrift_core::settings::Node;
+
+use super::command::Command;
+use super::{Common, block_on, finish};
+use crate::ctl_error::CtlError;
+
+pub(super) const COMMAND: Command = Command {
+    name: "get",
+    arguments: "[NODE]",
+    about: "Prints the stored tree, or one node, as JSON; its version goes to standard error.",
+    options: "NODE                 the path of a node, such as granite/gradebook",
+    execute,
+};
+
+fn execute(mut args: Arguments) -> Result<(), CtlError> {
+    let common = Common::parse(&mut args)?;
+    let path: Option<String> = args.opt_free_from_str()?;
+    finish(args)?;
+    block_on(async {
+        let stored = common.repository().read().await?;
+        let document = stored.document;
+        let node = match &path {
+            Some(path) => find(&document.tree, path)?,
+            None => &document.tree,
+        };
+        let text = serde_json::to_string_pretty(node).unwrap_or_default();
+        eprintln!("version {}, edit {}", document.version, document.edit_id);
+        println!("{text}");
+        Ok(())
+    })
+}
+
+/// Finds a node, or names the nodes beside the first one that does not exist.
+pub(super) fn find<'a>(tree: &'a Node, path: &str) -> Result<&'a Node, CtlError> {
+    let mut node = tree;
+    for name in path.split('/').filter(|n| !n.is_empty()) {
+        node = node.nodes.get(name).ok_or_else(|| CtlError::Unknown {
+            what: "node",
+            name: name.into(),
+            known: node.nodes.keys().cloned().collect(),
+        })?;
+    }
+    Ok(node)
+}
--- /dev/null
+++ b/crates/zinniadrift-ctl/src/cmd/in_force.rs
@@ -0,0 +1,79 @@
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use pico_args::Arguments;
+use tokio::time::Instant;
+
+use zinniadrift_core::units::Version;
+use zinniadrift_platform::{DaemonStatus, HttpStore, SettingsRepository};
+
+use crate::ctl_error::CtlError;
+
+/// Ten reads a second for one waiting operator are small beside the platform's 2,000.
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Waits for an edit to be in force, if the operator asked for it.
+pub(super) struct Wait {
+    limit: Option<Duration>,
+}
+
+impl Wait {
+    pub(super) fn parse(args: &mut Arguments) -> Result<Self, CtlError> {
+        let seconds: Option<u64> = args.opt_value_from_str("--wait")?;
+        Ok(Self {
+            limit: seconds.map(Duration::from_secs),
+        })
+    }
+
+    /// Prints each daemon as soon as it reports `version` or a higher one.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the names of the daemons that did not report it in time.
+    pub(super) async fn until_in_force(
+        &self,
+        repository: &SettingsRepository<HttpStore>,
+        version: Version,
+    ) -> Result<(), CtlError> {
+        let Some(limit) = self.limit else {
+            return Ok(());
+        };
+        let deadline = Instant::now() + limit;
+        let mut reported = BTreeSet::new();
+        loop {
+            let result = repository.statuses().await;
+            // The edit is stored; a platform that is down now only delays the report.
+            let mut daemons = result.unwrap_or_default();
+            daemons.retain(|d| !d.is_stopped());
+            let missing: Vec<&DaemonStatus> =
+                daemons.iter().filter(|d| d.version < version).collect();
+            for d in daemons.iter().filter(|d| d.version >= version) {
+                if reported.insert(d.name.clone()) {
+                    let DaemonStatus {
+                        zone, role, name, ..
+                    } = d;
+                    println!("{zone} {role} {name}: version {} in force", d.version);
+                }
+            }
+            if missing.is_empty() && !daemons.is_empty() {
+                return Ok(());
+            }
+            if Instant::now() >= deadline {
+                return Err(not_in_force(version, &missing));
+            }
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+    }
+}
+
+fn not_in_force(version: Version, missing: &[&DaemonStatus]) -> CtlError {
+    let names: Vec<String> = missing
+        .iter()
+        .map(|d| format!("{} {} (version {})", d.role, d.name, d.version))
+        .collect();
+    let missing = match names.as_slice() {
+        [] => "any daemon: no status could be read".into(),
+        names => names.join(", ").into(),
+    };
+    CtlError::NotInForce { version, missing }
+}
--- /dev/null
+++ b/crates/zinniadrift-ctl/src/cmd/set.rs
@@ -0,0 +1,54 @@
+//! Changes one setting.
+
+use pico_args::Arguments;
+use serde_json::Value;
+
+use zinniadrift_core::settings::SettingPath;
+
+use super::command::Command;
+use super::get::find;
+use super::in_force::Wait;
+use super::{Common, block_on, finish, report};
+use crate::ctl_error::CtlError;
+
+pub(super) const COMMAND: Command = Command {
+    name: "set",
+    arguments: "NODE:SETTING VALUE | NODE:SETTING --unset  [--wait SECONDS]",
+    about: "Changes one setting, or removes it so that it is inherited again.",
+    options: "NODE:SETTING         such as granite/gradebook:policies.flows.ramp_s\n\
+              VALUE                JSON; a text needs no quotes\n\
+              --unset              remove the setting\n\
+              --wait SECONDS       wait until all daemons have the edit in force",
+    execute,
+};
+
+fn execute(mut args: Arguments) -> Result<(), CtlError> {
+    let common = Common::parse(&mut args)?;
+    let wait = Wait::parse(&mut args)?;
+    let unset = args.contains("--unset");
+    let path: SettingPath = args.free_from_str()?;
+    let value = if unset {
+        None
+    } else {
+        let text: String = args.free_from_str()?;
+        Some(serde_json::from_str(&text).unwrap_or(Value::String(text)))
+    };
+    finish(args)?;
+    let repository = common.repository();
+    block_on(async {
+        let base = repository.read().await?;
+        let (names, _) = path.split();
+        find(&base.document.tree, &names.join("/"))?;
+        let tree = base
+            .document
+            .tree
+            .with_setting(&path, value)
+            .map_err(|faults| CtlError::InvalidFile {
+                path: repository.key(),
+                faults,
+            })?;
+        let edit = repository.submit(&base, &tree).await?;
+        report(&edit);
+        wait.until_in_force(&repository, edit.version).await
+    })
+}
--- a/crates/zinniadrift-ctl/src/ctl_error.rs
+++ b/crates/zinniadrift-ctl/src/ctl_error.rs
@@ -1,6 +1,8 @@
 use snafu::Snafu;
 
 use zinniadrift_core::error::ErrorKind;
+use zinniadrift_core::settings::SettingsError;
+use zinniadrift_core::units::Version;
 use zinniadrift_platform::{EditError, StoreError};
 
 /// Tells why a command failed.
@@ -13,14 +15,30 @@
         path: Box<str>,
         source: std::io::Error,
     },
-    #[snafu(display("{path}: {text}"))]
-    InvalidFile { path: Box<str>, text: Box<str> },
+    #[snafu(display("cannot start: {source}"))]
+    Start { source: std::io::Error },
+    #[snafu(display("{} faults, nothing was written:{}", faults.len(), lines(path, faults)))]
+    InvalidFile {
+        path: Box<str>,
+        faults: Vec<SettingsError>,
+    },
+    #[snafu(display("{what} {name} does not exist; expected one of {}", known.join(", ")))]
+    Unknown {
+        what: &'static str,
+        name: Box<str>,
+        known: Vec<Box<str>>,
+    },
+    #[snafu(display(
+        "version {stored} is stored, but the file is based on version {based_on}; nothing was \
+         written. Run diff to see what differs"
+    ))]
+    Moved { stored: Version, based_on: Version },
     #[snafu(transparent)]
     Edit { source: EditError },
     #[snafu(transparent)]
     Store { source: StoreError },
     #[snafu(display("version {version} is not in force on {missing}"))]
-    NotInForce { version: u64, missing: Box<str> },
+    NotInForce { version: Version, missing: Box<str> },
 }
 
 impl CtlError {
@@ -31,16 +49,24 @@
     pub(crate) const fn kind(&self) -> ErrorKind {
         match self {
             Self::Usage { .. } => ErrorKind::InvalidInput,
-            Self::ReadFile { .. } => ErrorKind::NotFound,
+            Self::ReadFile { .. } | Self::Unknown { .. } => ErrorKind::NotFound,
+            Self::Start { .. } => ErrorKind::Internal,
             Self::InvalidFile { .. } => ErrorKind::InvalidSettings,
-            Self::Edit {
-                source: EditError::Invalid { .. },
-            } => ErrorKind::InvalidSettings,
-            Self::Edit {
-                source: EditError::Store { source },
-            }
-            | Self::Store { source } => source.kind(),
+            Self::Moved { .. } => ErrorKind::Conflict,
+            Self::Edit { source } => source.kind(),
+            Self::Store { source } => source.kind(),
             Self::NotInForce { .. } => ErrorKind::OutcomeUnknown,
         }
     }
 }
+
+impl From<pico_args::Error> for CtlError {
+    fn from(e: pico_args::Error) -> Self {
+        Self::usage(format!("{e}; see --help"))
+    }
+}
+
+fn lines(path: &str, faults: &[SettingsError]) -> String {
+    let faults = faults.iter();
+    faults.map(|f| format!("\n  {path}: {f}")).collect()
+}
--- a/crates/zinniadrift-ctl/src/main.rs
+++ b/crates/zinniadrift-ctl/src/main.rs
@@ -5,19 +5,9 @@
 
 use std::process::ExitCode;
 
+use cmd::{COMMANDS, Command};
 use ctl_error::CtlError;
 
-const USAGE: &str = "\
-Reads and edits the settings tree in the platform.
-
-Usage: zinniadrift-ctl COMMAND --platform IP:PORT --user NAME [OPTIONS]
-
-apply --file FILE [--wait SECONDS]   replace the tree by the one in FILE
-status                               show the version in force on each daemon
-
---version   print the version
---help      print this text";
-
 fn main() -> ExitCode {
     match run() {
         Ok(()) => ExitCode::SUCCESS,
@@ -30,18 +20,24 @@
 
 fn run() -> Result<(), CtlError> {
     let mut args = pico_args::Arguments::from_env();
+    let name = args.subcommand().ok().flatten();
+    let command = match &name {
+        Some(name) => Some(Command::find(name)?),
+        None => None,
+    };
     if args.contains(["-h", "--help"]) {
-        println!("{USAGE}");
+        println!("{}", command.map_or_else(cmd::usage, Command::usage));
         return Ok(());
     }
     if args.contains(["-V", "--version"]) {
         println!("zinniadrift-ctl {}", env!("CARGO_PKG_VERSION"));
         return Ok(());
     }
-    let command = args.subcommand().ok().flatten();
-    match command.as_deref() {
-        Some("apply") => cmd::apply::execute(args),
-        Some("status") => cmd::status::execute(args),
-        _ => Err(CtlError::usage("expected a command; see --help")),
+    match command {
+        Some(command) => (command.execute)(args),
+        None => Err(CtlError::usage(format!(
+            "no command; expected one of {}",
+            COMMANDS.map(|c| c.name).join(", ")
+        ))),
     }
 }
--- /dev/null
+++ b/crates/zinniadrift-platform/src/edit.rs
@@ -0,0 +1,20 @@
+use zinniadrift_core::settings::{Document, SettingChange};
+use zinniadrift_core::units::Version;
+
+/// Is the result of an accepted edit.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Edit {
+    /// The version that holds the edit.
+    pub version: Version,
+    /// The settings that the edit changed; empty if the store held the wanted values already.
+    pub changes: Vec<SettingChange>,
+}
+
+/// Is a settings document as it was read from the platform.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct StoredSettings {
+    /// The document; the default one if the object does not exist.
+    pub document: Document,
+    /// The object's revision, `None` if it does not exist.
+    pub revision: Option<u64>,
+}
--- a/crates/zinniadrift-platform/src/http_store.rs
+++ b/crates/zinniadrift-platform/src/http_store.rs
@@ -127,7 +127,8 @@
 fn from_status(status: StatusCode, key: &str) -> StoreError {
     match status {
         StatusCode::PRECONDITION_FAILED => StoreError::Conflict { key: key.into() },
-        s if s.is_server_error() => StoreError::Unavailable {
+        // A call over the rate limit had no effect and may be repeated.
+        s if s.is_server_error() || s == StatusCode::TOO_MANY_REQUESTS => StoreError::Unavailable {
             reason: s.to_string().into(),
         },
         s => StoreError::Refused { status: s.as_u16() },
--- a/crates/zinniadrift-platform/src/lib.rs
+++ b/crates/zinniadrift-platform/src/lib.rs
@@ -3,18 +3,28 @@
 //! [`ObjectStore`] is the interface; [`HttpStore`] speaks to the platform over HTTP and
 //! [`MemoryStore`] keeps objects in memory and can inject faults for tests.
 
+mod daemon_status;
+mod edit;
+mod edit_error;
 mod http_store;
 mod memory_store;
 mod object;
 mod object_store;
 mod precondition;
+mod repository_settings;
 mod settings_repository;
 mod store_error;
+mod store_faults;
 
+pub use daemon_status::DaemonStatus;
+pub use edit::{Edit, StoredSettings};
+pub use edit_error::EditError;
 pub use http_store::HttpStore;
-pub use memory_store::{MemoryStore, StoreFaults};
+pub use memory_store::{MemoryStore, StoreSnapshot};
 pub use object::Object;
 pub use object_store::ObjectStore;
 pub use precondition::Precondition;
-pub use settings_repository::{Edit, EditError, SettingsRepository};
+pub use repository_settings::RepositorySettings;
+pub use settings_repository::SettingsRepository;
 pub use store_error::StoreError;
+pub use store_faults::StoreFaults;
--- a/crates/zinniadrift-platform/src/memory_store.rs
+++ b/crates/zinniadrift-platform/src/memory_store.rs
@@ -2,11 +2,11 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use tokio::sync::watch;
+use tokio::time::{Instant, sleep, timeout_at};
 
-use crate::{Object, ObjectStore, Precondition, StoreError};
+use crate::{Object, ObjectStore, Precondition, StoreError, StoreFaults};
 
 /// Keeps objects in memory and injects faults on request.
 #[derive(Debug)]
@@ -15,24 +15,20 @@
     changed: watch::Sender<u64>,
 }
 
-#[derive(Debug, Default)]
-struct Inner {
+/// Is a state of all objects to which a [`MemoryStore`] can be set back.
+#[derive(Clone, Debug, Default)]
+pub struct StoreSnapshot {
     objects: BTreeMap<Box<str>, Object>,
     revision: u64,
-    faults: StoreFaults,
-    calls: u64,
 }
 
-/// Says which faults a [`MemoryStore`] injects.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct StoreFaults {
-    /// Every call fails without effect.
-    pub down: bool,
-    /// The next this many writes take effect, but their answers are lost.
-    pub lose_answers: u32,
-    /// Every call takes this long, in milliseconds.
-    pub delay_ms: u64,
+#[derive(Debug, Default)]
+struct Inner {
+    state: StoreSnapshot,
+    /// The state of each object before its last write, for stale reads.
+    previous: BTreeMap<Box<str>, Option<Object>>,
+    faults: StoreFaults,
+    calls: u64,
 }
 
 impl Default for MemoryStore {
@@ -55,37 +51,64 @@
         self.inner.lock().calls
     }
 
-    async fn enter(&self) -> Result<(), StoreError> {
+    /// Returns the present state of all objects.
+    pub fn snapshot(&self) -> StoreSnapshot {
+        self.inner.lock().state.clone()
+    }
+
+    /// Goes back to an earlier state; revisions count on from that state's.
+    pub fn restore(&self, snapshot: StoreSnapshot) {
+        let revision = snapshot.revision;
+        let mut inner = self.inner.lock();
+        inner.state = snapshot;
+        inner.previous.clear();
+        drop(inner);
+        self.changed.send_replace(revision);
+    }
+
+    async fn enter(&self) -> Result<StoreFaults, StoreError> {
         let faults = {
             let mut inner = self.inner.lock();
             inner.calls += 1;
             inner.faults
         };
-        if faults.delay_ms > 0 {
-            tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
-        }
+        pause(faults.delay_ms).await;
         if faults.down {
             return Err(StoreError::Unavailable {
                 reason: "outage".into(),
             });
         }
-        Ok(())
+        Ok(faults)
     }
 
     fn select(&self, prefix: &str, after: u64) -> Vec<Object> {
         let inner = self.inner.lock();
-        inner
-            .objects
-            .values()
+        let objects = inner.state.objects.values();
+        objects
             .filter(|o| o.key.starts_with(prefix) && o.revision > after)
             .cloned()
             .collect()
     }
 }
 
+async fn pause(millis: u64) {
+    if millis > 0 {
+        sleep(Duration::from_millis(millis)).await;
+    }
+}
+
 impl Inner {
+    fn read(&mut self, key: &str) -> Option<Object> {
+        let previous = self.previous.get(key);
+        if let (Some(previous), 1..) = (previous, self.faults.stale_reads) {
+            self.faults.stale_reads -= 1;
+            return previous.clone();
+        }
+        self.state.objects.get(key).cloned()
+    }
+
     fn write(&mut self, key: &str, value: Value, pre: Precondition) -> Result<u64, StoreError> {
-        let current = self.objects.get(key).map(|o| o.revision);
+        let current = self.state.objects.get(key).map(|o| o.revision);
         let holds = match pre {
             Precondition::None => true,
             Precondition::Absent => current.is_none(),
@@ -94,42 +117,60 @@
         if !holds {
             return Err(StoreError::Conflict { key: key.into() });
         }
-        self.revision += 1;
+        self.state.revision += 1;
         let object = Object {
             key: key.into(),
-            revision: self.revision,
+            revision: self.state.revision,
             value,
         };
-        self.objects.insert(key.into(), object);
-        Ok(self.revision)
+        let previous = self.state.objects.insert(key.into(), object);
+        self.previous.insert(key.into(), previous);
+        Ok(self.state.revision)
+    }
+
+    /// Performs a write and tells whether its answer is lost.
+    fn write_with_faults(
+        &mut self,
+        key: &str,
+        value: Value,
+        pre: Precondition,
+    ) -> (Result<u64, StoreError>, bool) {
+        if self.faults.lose_requests > 0 {
+            self.faults.lose_requests -= 1;
+            let reason = "request lost".into();
+            return (Err(StoreError::Unavailable { reason }), false);
+        }
+        let result = self.write(key, value, pre);
+        let lost = result.is_ok() && self.faults.lose_answers > 0;
+        if lost {
+            self.faults.lose_answers -= 1;
+        }
+        (result, lost)
     }
 }
 
 impl ObjectStore for MemoryStore {
     async fn get(&self, key: &str) -> Result<Option<Object>, StoreError> {
-        self.enter().await?;
-        Ok(self.inner.lock().objects.get(key).cloned())
+        let faults = self.enter().await?;
+        let object = self.inner.lock().read(key);
+        pause(faults.answer_delay_ms).await;
+        Ok(object)
     }
 
     async fn list(&self, prefix: &str) -> Result<Vec<Object>, StoreError> {
-        self.enter().await?;
-        Ok(self.select(prefix, 0))
+        let faults = self.enter().await?;
+        let objects = self.select(prefix, 0);
+        pause(faults.answer_delay_ms).await;
+        Ok(objects)
     }
 
     async fn put(&self, key: &str, value: Value, pre: Precondition) -> Result<u64, StoreError> {
-        self.enter().await?;
-        let (result, lost) = {
-            let mut inner = self.inner.lock();
-            let result = inner.write(key, value, pre);
-            let lost = result.is_ok() && inner.faults.lose_answers > 0;
-            if lost {
-                inner.faults.lose_answers -= 1;
-            }
-            (result, lost)
-        };
+        let faults = self.enter().await?;
+        let (result, lost) = self.inner.lock().write_with_faults(key, value, pre);
         if let Ok(revision) = result {
             self.changed.send_replace(revision);
         }
+        pause(faults.answer_delay_ms).await;
         if lost {
             return Err(StoreError::Unavailable {
                 reason: "answer lost".into(),
@@ -146,13 +187,13 @@
     ) -> Result<Vec<Object>, StoreError> {
         let mut rx = self.changed.subscribe();
         self.enter().await?;
-        let deadline = tokio::time::Instant::now() + wait;
+        let deadline = Instant::now() + wait;
         loop {
             let found = self.select(prefix, after);
             if !found.is_empty() {
                 return Ok(found);
             }
-            match tokio::time::timeout_at(deadline, rx.changed()).await {
+            match timeout_at(deadline, rx.changed()).await {
                 Ok(Ok(())) => {}
                 Ok(Err(_)) | Err(_) => return Ok(Vec::new()),
             }
--- a/crates/zinniadrift-platform/src/object_store.rs
+++ b/crates/zinniadrift-platform/src/object_store.rs
@@ -1,4 +1,5 @@
 use std::future::Future;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde_json::Value;
@@ -31,3 +32,31 @@
         wait: Duration,
     ) -> impl Future<Output = Result<Vec<Object>, StoreError>> + Send;
 }
+
+impl<S: ObjectStore> ObjectStore for Arc<S> {
+    fn get(&self, key: &str) -> impl Future<Output = Result<Option<Object>, StoreError>> + Send {
+        S::get(self, key)
+    }
+
+    fn list(&self, prefix: &str) -> impl Future<Output = Result<Vec<Object>, StoreError>> + Send {
+        S::list(self, prefix)
+    }
+
+    fn put(
+        &self,
+        key: &str,
+        value: Value,
+        pre: Precondition,
+    ) -> impl Future<Output = Result<u64, StoreError>> + Send {
+        S::put(self, key, value, pre)
+    }
+
+    fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Vec<Object>, StoreError>> + Send {
+        S::watch(self, prefix, after, wait)
+    }
+}
--- a/crates/zinniadrift-platform/src/store_error.rs
+++ b/crates/zinniadrift-platform/src/store_error.rs
@@ -3,7 +3,7 @@
 use zinniadrift_core::error::ErrorKind;
 
 /// Tells why a call to the platform failed.
-#[derive(Debug, Snafu)]
+#[derive(Clone, Debug, Snafu)]
 #[snafu(visibility(pub))]
 pub enum StoreError {
     /// The platform did not answer; a write may have taken effect.
