--- a/crates/zinniadrift-core/src/lib.rs
+++ b/crates/zinniadrift-core/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod balancer;
 pub mod claim;
+pub mod distribution;
 pub mod error;
 pub mod flow;
 pub mod gateway;
