Add request dispatch and grouped claims

Requests go through claim, queue and attempts to one of three outcomes. Claims are grouped per shard into conditional writes, paced by write_rate; a write whose answer was lost is settled by reading the shard and applying its changes again, because a change has the same effect when repeated.

The number of shards is fixed by the first settings version that a gateway sees: a change while claims exist would hide them and allow a second run.

--- /dev/null
+++ b/crates/zinniadrift-core/src/claim/claims_settings.rs
@@ -0,0 +1,64 @@
+use std::time::Duration;
+
+use super::ShardRules;
+use crate::ids::MemberId;
+use crate::settings::ClaimPolicies;
+use crate::units::MonoTime;
+
+/// Configures the claims of one gateway.
+#[derive(Clone, Debug)]
+pub struct ClaimsSettings {
+    /// This gateway.
+    pub member: MemberId,
+    /// The Unix time in seconds at the origin of `MonoTime`.
+    pub unix_origin_s: u64,
+    /// The time after which a call to the platform counts as lost.
+    pub store_timeout: Duration,
+    /// The limits of a shard's value.
+    pub rules: ShardRules,
+    /// Shards over which claims are spread.
+    pub shards: u32,
+    /// Writes per second of this gateway.
+    pub write_rate: f64,
+    /// Whether a lost answer is settled by reading the shard; otherwise it counts as success.
+    pub token_read_back: bool,
+    /// Whether claims fail at once while the platform is down; otherwise they wait.
+    pub fail_fast: bool,
+}
+
+impl ClaimsSettings {
+    /// Takes over the policies of a new settings version.
+    ///
+    /// The number of shards is fixed by the first version: if it changed while claims exist, a
+    /// key would be looked up in a shard that does not hold its claim, and its work could run
+    /// twice. A new number takes effect when all gateways of the group are restarted.
+    pub fn configure(&mut self, policies: &ClaimPolicies, first: bool) {
+        if first {
+            self.shards = policies.shards;
+        }
+        self.write_rate = policies.write_rate;
+        self.rules.capacity = policies.shard_capacity;
+        self.rules.retention_s = policies.retention_s;
+    }
+
+    /// Returns the Unix time in seconds.
+    pub fn unix_s(&self, now: MonoTime) -> u64 {
+        self.unix_origin_s + now.as_micros() / 1_000_000
+    }
+}
+
+impl Default for ClaimsSettings {
+    fn default() -> Self {
+        let policies = ClaimPolicies::default();
+        Self {
+            member: MemberId::default(),
+            unix_origin_s: 0,
+            store_timeout: Duration::from_millis(200),
+            rules: ShardRules::default(),
+            shards: policies.shards,
+            write_rate: policies.write_rate,
+            token_read_back: true,
+            fail_fast: true,
+        }
+    }
+}
--- a/crates/zinniadrift-core/src/claim/store_result.rs
+++ b/crates/zinniadrift-core/src/claim/store_result.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use super::ClaimShard;
 
 /// Is the result of reading a shard.
@@ -8,7 +10,7 @@
         /// Its revision.
         revision: u64,
         /// Its value.
-        value: Box<ClaimShard>,
+        value: Arc<ClaimShard>,
     },
     /// The object does not exist.
     Absent,
--- /dev/null
+++ b/crates/zinniadrift-core/src/gateway/counters.rs
@@ -0,0 +1,22 @@
+/// Counts what a gateway did, for metrics.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Counters {
+    /// Requests that arrived.
+    pub arrived: u64,
+    /// Attempts sent.
+    pub sent: u64,
+    /// Attempts that a full target declined.
+    pub shed: u64,
+    /// Retries after failures.
+    pub retries: u64,
+    /// Results of abandoned or unknown attempts, which were dropped.
+    pub late: u64,
+    /// Responses that named another attempt.
+    pub mismatched: u64,
+    /// Requests answered `done`.
+    pub done: u64,
+    /// Requests answered `not run`.
+    pub not_run: u64,
+    /// Requests answered `unknown`.
+    pub unknown: u64,
+}
--- /dev/null
+++ b/crates/zinniadrift-core/src/gateway/cx.rs
@@ -0,0 +1,60 @@
+use rand_xoshiro::Xoshiro256PlusPlus;
+
+use super::{Counters, GatewayAction, Mechanisms, Outcome, RequestId};
+use crate::claim::{ClaimChange, ClaimOp};
+use crate::error::{ErrorKind, RetryAdvice};
+use crate::ids::MemberId;
+use crate::units::MonoTime;
+
+use super::request::RequestClaim;
+
+/// Carries what the handling of one event needs, and collects its results.
+pub(crate) struct Cx<'a> {
+    /// The time of the event.
+    pub(crate) now: MonoTime,
+    /// This gateway.
+    pub(crate) member: MemberId,
+    /// The mechanisms in force.
+    pub(crate) on: Mechanisms,
+    /// The source of random choices.
+    pub(crate) rng: &'a mut Xoshiro256PlusPlus,
+    /// The counters.
+    pub(crate) counters: &'a mut Counters,
+    /// The actions for the driver.
+    pub(crate) out: &'a mut Vec<GatewayAction>,
+    /// The changes of claims to submit.
+    pub(crate) ops: &'a mut Vec<ClaimOp>,
+}
+
+impl Cx<'_> {
+    pub(crate) fn answer(&mut self, req: RequestId, outcome: Outcome) {
+        match outcome {
+            Outcome::Done { .. } => self.counters.done += 1,
+            Outcome::NotRun { .. } => self.counters.not_run += 1,
+            Outcome::Unknown { .. } => self.counters.unknown += 1,
+        }
+        self.out.push(GatewayAction::Answer { req, outcome });
+    }
+
+    pub(crate) fn change_claim(&mut self, claim: RequestClaim, change: ClaimChange) {
+        self.ops.push(ClaimOp {
+            key: claim.key,
+            token: claim.token,
+            gateway: self.member,
+            change,
+        });
+    }
+}
+
+/// Returns the outcome of a request that was proven not to have run.
+pub(crate) fn not_run(kind: ErrorKind) -> Outcome {
+    const DEFAULT_RETRY_MS: u64 = 1_000;
+    let retry_after_ms = match kind.answer().retry {
+        RetryAdvice::AfterMillis(ms) => ms,
+        RetryAdvice::Never | RetryAdvice::OnlyIfIdempotent => DEFAULT_RETRY_MS,
+    };
+    Outcome::NotRun {
+        kind,
+        retry_after_ms,
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-core/src/gateway/dispatcher.rs
@@ -0,0 +1,381 @@
+use hashbrown::HashMap;
+
+use super::cx::{Cx, not_run};
+use super::request::{Request, Stage};
+use super::request_table::{Attempt, RequestTable};
+use super::{AttemptId, AttemptResult, GatewayAction, Notice, Outcome, Pools, RequestId};
+use crate::claim::{ClaimChange, ClaimToken, ClaimVerdict, StoredAnswer};
+use crate::error::ErrorKind;
+use crate::ids::{ServiceId, TargetId};
+use crate::units::MonoTime;
+
+/// Moves requests through claim, queue and attempts to their answer.
+#[derive(Debug, Default)]
+pub(crate) struct Dispatcher {
+    table: RequestTable,
+    pools: Pools,
+    /// Ended attempts, kept only while `Mechanisms::attempt_matching` is off.
+    abandoned: HashMap<AttemptId, RequestId>,
+}
+
+/// Failed attempts after which a request is given up on even if the retry budget allows more.
+const MAX_FAILURES: usize = 3;
+impl Dispatcher {
+    pub(crate) fn is_idle(&self) -> bool {
+        self.table.is_empty()
+    }
+
+    /// Returns what is known of the services.
+    pub(crate) fn pools_mut(&mut self) -> &mut Pools {
+        &mut self.pools
+    }
+
+    pub(crate) fn on_arrived(&mut self, cx: &mut Cx<'_>, id: RequestId, req: Request) {
+        let refusal = match self.pools.get_mut(req.service) {
+            None => Some(ErrorKind::NotFound),
+            Some(_) if cx.on.deadline_check && req.deadline <= cx.now => {
+                Some(ErrorKind::DeadlineBeforeStart)
+            }
+            Some(pool) if !pool.targets.has_active() => Some(ErrorKind::NoTarget),
+            Some(pool) => {
+                pool.budget.earn(pool.policies.requests.retry_budget);
+                None
+            }
+        };
+        if let Some(kind) = refusal {
+            return cx.answer(id, not_run(kind));
+        }
+        let claim = req.claim;
+        let remaining = req.deadline.since(cx.now);
+        self.table.insert(id, req);
+        match claim {
+            Some(claim) => cx.change_claim(claim, ClaimChange::Take { remaining }),
+            None => self.start(cx, id),
+        }
+    }
+
+    pub(crate) fn on_claim(
+        &mut self,
+        cx: &mut Cx<'_>,
+        token: ClaimToken,
+        start: bool,
+        verdict: ClaimVerdict,
+    ) {
+        let Some(id) = self.table.holder(token) else {
+            return;
+        };
+        let Some(req) = self
+            .table
+            .get_mut(id)
+            .filter(|r| r.stage == Stage::Claiming)
+        else {
+            return;
+        };
+        let late = cx.on.deadline_check && req.deadline <= cx.now;
+        match verdict {
+            ClaimVerdict::Granted if late => self.give_up(cx, id, ErrorKind::DeadlineBeforeStart),
+            ClaimVerdict::Granted if cx.on.start_write && !start => {
+                if let Some(claim) = req.claim {
+                    let remaining = req.deadline.since(cx.now);
+                    cx.change_claim(claim, ClaimChange::Start { remaining });
+                }
+            }
+            ClaimVerdict::Granted => {
+                req.stage = Stage::Waiting;
+                self.start(cx, id);
+            }
+            // Without the start mark the work was not sent, and it now belongs to another request.
+            ClaimVerdict::Taken | ClaimVerdict::Answered(_) if start => {
+                self.table.remove(id);
+                cx.answer(id, not_run(ErrorKind::Conflict));
+            }
+            ClaimVerdict::Taken => {
+                self.table.remove(id);
+                let kind = ErrorKind::DuplicateRequest;
+                cx.answer(id, Outcome::Unknown { kind });
+            }
+            ClaimVerdict::Answered(StoredAnswer { status, body }) => {
+                self.table.remove(id);
+                let body = String::from(body).into();
+                cx.answer(id, Outcome::Done { status, body });
+            }
+            ClaimVerdict::Full => {
+                self.table.remove(id);
+                cx.answer(id, not_run(ErrorKind::Overloaded));
+            }
+            ClaimVerdict::Unavailable => self.give_up(cx, id, ErrorKind::PlatformUnavailable),
+        }
+    }
+
+    pub(crate) fn on_finished(&mut self, cx: &mut Cx<'_>, id: AttemptId, result: AttemptResult) {
+        let Some(attempt) = self.table.end_attempt(id) else {
+            return self.on_late(cx, id, result);
+        };
+        if !cx.on.attempt_matching {
+            self.abandoned.insert(id, attempt.req);
+        }
+        let Some(service) = self.table.get_mut(attempt.req).map(|r| r.service) else {
+            return;
+        };
+        self.pools.record(cx, service, &attempt, &result);
+        match result {
+            AttemptResult::Whole { echo, .. }
+                if cx.on.attempt_matching && echo.is_some_and(|e| e != id) =>
+            {
+                cx.counters.mismatched += 1;
+                cx.out.push(GatewayAction::RetireConnection { attempt: id });
+                self.on_ambiguous(cx, &attempt);
+            }
+            AttemptResult::Whole { status, body, .. } => {
+                self.finish(cx, attempt.req, status, body);
+                self.serve_waiting(cx, service, attempt.target);
+            }
+            AttemptResult::Shed { .. } => self.on_shed(cx, attempt.req),
+            AttemptResult::RefusedBeforeStart | AttemptResult::ConnectFailed => {
+                self.retry(cx, &attempt, ErrorKind::NoTarget);
+            }
+            AttemptResult::Truncated if !cx.on.framing_check => {
+                self.finish(cx, attempt.req, 200, bytes::Bytes::new());
+            }
+            AttemptResult::ConnectionLost => self.on_ambiguous(cx, &attempt),
+            AttemptResult::Truncated | AttemptResult::NoProgress => {
+                if cx.on.connection_retirement {
+                    cx.out.push(GatewayAction::RetireConnection { attempt: id });
+                }
+                self.on_ambiguous(cx, &attempt);
+            }
+        }
+    }
+
+    pub(crate) fn on_cancelled(&mut self, cx: &mut Cx<'_>, id: RequestId) {
+        let Some(req) = self.take(cx, id) else {
+            return;
+        };
+        if let (Some(claim), false) = (req.claim, req.may_have_run) {
+            cx.change_claim(claim, ClaimChange::Release);
+        }
+    }
+
+    pub(crate) fn on_tick(&mut self, cx: &mut Cx<'_>) {
+        while let Some(id) = self.table.overdue(cx.now) {
+            self.give_up(cx, id, ErrorKind::DeadlineBeforeStart);
+        }
+        for service in self.pools.services() {
+            self.tick_pool(cx, service);
+        }
+    }
+
+    pub(crate) fn next_deadline(&self) -> Option<MonoTime> {
+        let table = self.table.next_deadline();
+        self.pools.next_deadline().into_iter().chain(table).min()
+    }
+
+    fn tick_pool(&mut self, cx: &mut Cx<'_>, service: ServiceId) {
+        let Some(pool) = self.pools.get_mut(service) else {
+            return;
+        };
+        while let Some(target) = pool.targets.restore_one(cx.now) {
+            let notice = Notice::TargetRestored(target);
+            cx.out.push(GatewayAction::Timeline(notice));
+        }
+        let overloaded = pool.queue.is_overloaded(cx.now);
+        if overloaded != pool.overloaded {
+            pool.overloaded = overloaded;
+            cx.out.push(GatewayAction::Timeline(if overloaded {
+                Notice::OverloadStarted(service)
+            } else {
+                Notice::OverloadEnded(service)
+            }));
+        }
+        let mut shed = Vec::new();
+        while let Some(id) = pool.queue.pop_expired(cx.now) {
+            shed.push(id);
+        }
+        for id in shed {
+            self.give_up(cx, id, ErrorKind::Overloaded);
+        }
+        self.probe(cx, service);
+    }
+
+    /// Sends the next waiting request to a target that may have a free slot.
+    fn probe(&mut self, cx: &mut Cx<'_>, service: ServiceId) {
+        let Some(pool) = self.pools.get_mut(service) else {
+            return;
+        };
+        if !pool.take_probe(cx.now) {
+            return;
+        }
+        let Some(target) = pool.targets.choose(cx.now, &[], &cx.on, cx.rng) else {
+            return;
+        };
+        if let Some(id) = pool.queue.pop(cx.now) {
+            self.send(cx, id, target);
+        }
+    }
+
+    /// Starts a request that may be sent now.
+    fn start(&mut self, cx: &mut Cx<'_>, id: RequestId) {
+        let Some(req) = self.table.get_mut(id) else {
+            return;
+        };
+        let Some(pool) = self.pools.get_mut(req.service) else {
+            return self.give_up(cx, id, ErrorKind::NotFound);
+        };
+        let target = if pool.queue.is_empty() {
+            pool.targets.choose(cx.now, &req.failed, &cx.on, cx.rng)
+        } else {
+            None
+        };
+        match target {
+            Some(target) => self.send(cx, id, target),
+            None => self.enqueue(cx, id),
+        }
+    }
+
+    fn enqueue(&mut self, cx: &mut Cx<'_>, id: RequestId) {
+        let Some(req) = self.table.get_mut(id) else {
+            return;
+        };
+        req.stage = Stage::Waiting;
+        let Some(pool) = self.pools.get_mut(req.service) else {
+            return;
+        };
+        let capacity = pool.policies.requests.queue_capacity;
+        pool.queue.push(cx.now, req.arrived, id);
+        if pool.queue.len() <= capacity {
+            return;
+        }
+        if let Some(oldest) = pool.queue.pop_oldest() {
+            self.give_up(cx, oldest, ErrorKind::Overloaded);
+        }
+    }
+
+    fn send(&mut self, cx: &mut Cx<'_>, id: RequestId, target: TargetId) {
+        let Some(req) = self.table.get_mut(id) else {
+            return;
+        };
+        if cx.on.deadline_check && req.deadline <= cx.now {
+            return self.give_up(cx, id, ErrorKind::DeadlineBeforeStart);
+        }
+        let (deadline, service) = (req.deadline, req.service);
+        let attempt = self.table.start_attempt(Attempt {
+            req: id,
+            target,
+            sent: cx.now,
+        });
+        if let Some(req) = self.table.get_mut(id) {
+            req.stage = Stage::Running(attempt);
+        }
+        if let Some(state) = self.pools.target(service, target) {
+            state.in_flight += 1;
+        }
+        cx.counters.sent += 1;
+        cx.out.push(GatewayAction::Send {
+            req: id,
+            attempt,
+            target,
+            deadline,
+        });
+    }
+
+    fn on_shed(&mut self, cx: &mut Cx<'_>, id: RequestId) {
+        if !cx.on.slot_limits {
+            return self.give_up(cx, id, ErrorKind::Overloaded);
+        }
+        self.start(cx, id);
+    }
+
+    /// Handles an attempt that ended without proof that the work was not run.
+    fn on_ambiguous(&mut self, cx: &mut Cx<'_>, attempt: &Attempt) {
+        let Some(req) = self.table.get_mut(attempt.req) else {
+            return;
+        };
+        req.may_have_run = cx.on.proof_of_not_run;
+        if req.idempotent {
+            return self.retry(cx, attempt, ErrorKind::NoTarget);
+        }
+        self.give_up(cx, attempt.req, ErrorKind::NoTarget);
+    }
+
+    /// Tries another target if the retry budget allows it.
+    fn retry(&mut self, cx: &mut Cx<'_>, attempt: &Attempt, kind: ErrorKind) {
+        let Some(req) = self.table.get_mut(attempt.req) else {
+            return;
+        };
+        req.failed.push(attempt.target);
+        req.stage = Stage::Waiting;
+        let again = req.failed.len() < MAX_FAILURES;
+        let pool = self.pools.get_mut(req.service);
+        if again && pool.is_some_and(|p| p.budget.take()) {
+            cx.counters.retries += 1;
+            self.start(cx, attempt.req);
+        } else {
+            self.give_up(cx, attempt.req, kind);
+        }
+    }
+
+    fn finish(&mut self, cx: &mut Cx<'_>, id: RequestId, status: u16, body: bytes::Bytes) {
+        let Some(req) = self.table.remove(id) else {
+            return;
+        };
+        if let Some(claim) = req.claim {
+            let answer = StoredAnswer::new(status, &body);
+            cx.change_claim(claim, ClaimChange::Complete { answer });
+        }
+        cx.answer(id, Outcome::Done { status, body });
+    }
+
+    /// Answers a request that will not be tried any further.
+    fn give_up(&mut self, cx: &mut Cx<'_>, id: RequestId, kind: ErrorKind) {
+        let Some(req) = self.take(cx, id) else {
+            return;
+        };
+        if req.may_have_run {
+            let kind = ErrorKind::OutcomeUnknown;
+            return cx.answer(id, Outcome::Unknown { kind });
+        }
+        if let Some(claim) = req.claim {
+            cx.change_claim(claim, ClaimChange::Release);
+        }
+        cx.answer(id, not_run(kind));
+    }
+
+    /// Removes a request; an attempt in progress is cancelled and may have run.
+    fn take(&mut self, cx: &mut Cx<'_>, id: RequestId) -> Option<Request> {
+        let mut req = self.table.remove(id)?;
+        if let Some(pool) = self.pools.get_mut(req.service) {
+            pool.queue.remove(id);
+        }
+        if let Stage::Running(attempt) = req.stage
+            && let Some(ended) = self.table.end_attempt(attempt)
+        {
+            req.may_have_run = true;
+            self.pools.release_slot(req.service, ended.target);
+            cx.out.push(GatewayAction::CancelAttempt { attempt });
+        }
+        Some(req)
+    }
+
+    /// Gives the slot that an own attempt freed to a waiting request.
+    fn serve_waiting(&mut self, cx: &mut Cx<'_>, service: ServiceId, target: TargetId) {
+        let Some(pool) = self.pools.get_mut(service) else {
+            return;
+        };
+        let open = pool.targets.get_mut(target).is_some_and(|s| s.takes_work());
+        if !open {
+            return;
+        }
+        if let Some(id) = pool.queue.pop(cx.now) {
+            self.send(cx, id, target);
+        }
+    }
+
+    fn on_late(&mut self, cx: &mut Cx<'_>, id: AttemptId, result: AttemptResult) {
+        cx.counters.late += 1;
+        if let (Some(req), AttemptResult::Whole { status, body, .. }) =
+            (self.abandoned.remove(&id), result)
+        {
+            cx.answer(req, Outcome::Done { status, body });
+        }
+    }
+}
--- a/crates/zinniadrift-core/src/gateway/gateway_action.rs
+++ b/crates/zinniadrift-core/src/gateway/gateway_action.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use super::{AttemptId, Notice, Outcome, RequestId};
 use crate::claim::{BatchId, ClaimOp, ClaimShard, ClaimVerdict, ShardId, StoreOp};
 use crate::ids::{MemberId, TargetId};
@@ -50,7 +52,7 @@
         /// The revision that the object must have; `None` if it must not exist.
         expected: Option<u64>,
         /// The new value.
-        value: Box<ClaimShard>,
+        value: Arc<ClaimShard>,
     },
     /// Ask another gateway to write claims.
     ForwardClaims {
--- a/crates/zinniadrift-core/src/gateway/mod.rs
+++ b/crates/zinniadrift-core/src/gateway/mod.rs
@@ -2,6 +2,9 @@
 
 mod attempt_id;
 mod attempt_result;
+mod counters;
+mod cx;
+mod dispatcher;
 mod gateway_action;
 mod gateway_event;
 mod gateway_settings;
@@ -11,11 +14,21 @@
 mod notice;
 mod outcome;
 mod peer;
+mod pools;
+mod request;
 mod request_id;
+mod request_table;
+mod retry_budget;
+mod service_pool;
 mod state_machine;
+mod target_pool;
+mod target_state;
+mod wait_queue;
+mod zone_plan;
 
 pub use attempt_id::AttemptId;
 pub use attempt_result::AttemptResult;
+pub use counters::Counters;
 pub use gateway_action::GatewayAction;
 pub use gateway_event::GatewayEvent;
 pub use gateway_settings::GatewaySettings;
@@ -27,3 +40,12 @@
 pub use peer::Peer;
 pub use request_id::RequestId;
 pub use state_machine::Gateway;
+
+use pools::Pools;
+use request::Request;
+use retry_budget::RetryBudget;
+use service_pool::ServicePool;
+use target_pool::TargetPool;
+use target_state::TargetState;
+use wait_queue::WaitQueue;
+use zone_plan::ZonePlan;
--- /dev/null
+++ b/crates/zinniadrift-core/src/gateway/pools.rs
@@ -0,0 +1,117 @@
+use std::time::Duration;
+
+use hashbrown::HashMap;
+use rand::RngExt;
+
+use super::cx::Cx;
+use super::request_table::Attempt;
+use super::{AttemptResult, GatewayAction, LoadReport, Notice, Peer, ServicePool, TargetState};
+use crate::ids::{ServiceId, TargetId, ZoneName};
+use crate::settings::ServiceCatalog;
+use crate::units::MonoTime;
+
+/// Holds the state of every service at a gateway.
+#[derive(Debug, Default)]
+pub(crate) struct Pools {
+    pools: HashMap<ServiceId, ServicePool>,
+}
+
+/// The time for which a full target is not probed again, before random variation. It is a few
+/// round trips; a shorter one finds freed slots little sooner and sends more probes.
+const FULL_TIME: Duration = Duration::from_millis(4);
+/// The time for which a target that refused work is left alone.
+const REFUSED_TIME: Duration = Duration::from_secs(1);
+
+impl Pools {
+    pub(crate) fn get_mut(&mut self, service: ServiceId) -> Option<&mut ServicePool> {
+        self.pools.get_mut(&service)
+    }
+
+    pub(crate) fn services(&self) -> Vec<ServiceId> {
+        self.pools.keys().copied().collect()
+    }
+
+    pub(crate) fn next_deadline(&self) -> Option<MonoTime> {
+        let pools = self.pools.values();
+        pools.filter_map(ServicePool::next_deadline).min()
+    }
+
+    pub(crate) fn configure(
+        &mut self,
+        now: MonoTime,
+        catalog: &ServiceCatalog,
+        zone: &ZoneName,
+        gateways: &[Peer],
+    ) {
+        self.pools
+            .retain(|id, _| catalog.services.iter().any(|s| s.id == *id));
+        for s in &catalog.services {
+            let pool = self.pools.entry(s.id).or_insert_with(ServicePool::new);
+            pool.targets.configure(now, &s.targets, &s.policies);
+            pool.policies = s.policies.clone();
+        }
+        self.set_gateways(zone, gateways);
+    }
+
+    pub(crate) fn set_gateways(&mut self, zone: &ZoneName, gateways: &[Peer]) {
+        for pool in self.pools.values_mut() {
+            pool.targets.set_gateways(zone, gateways);
+        }
+    }
+
+    pub(crate) fn record_report(&mut self, now: MonoTime, report: &LoadReport) {
+        for pool in self.pools.values_mut() {
+            pool.targets.record_report(now, report);
+        }
+    }
+
+    /// Records what an ended attempt says about its target.
+    pub(crate) fn record(
+        &mut self,
+        cx: &mut Cx<'_>,
+        service: ServiceId,
+        attempt: &Attempt,
+        result: &AttemptResult,
+    ) {
+        self.release_slot(service, attempt.target);
+        let full = FULL_TIME.mul_f64(cx.rng.random_range(0.5..1.5));
+        let Some(state) = self.target(service, attempt.target) else {
+            return;
+        };
+        match result {
+            AttemptResult::Whole { .. } => {
+                state.record_success(cx.now.since(attempt.sent));
+                return;
+            }
+            AttemptResult::Shed { .. } => {
+                cx.counters.shed += 1;
+                state.avoid_until = cx.now + full;
+                return;
+            }
+            AttemptResult::RefusedBeforeStart => {
+                state.avoid_until = cx.now + REFUSED_TIME;
+                return;
+            }
+            _ => {}
+        }
+        let pool = self.pools.get_mut(&service);
+        if pool.is_some_and(|p| p.targets.record_failure(cx.now, attempt.target)) {
+            let notice = Notice::TargetEjected(attempt.target);
+            cx.out.push(GatewayAction::Timeline(notice));
+        }
+    }
+
+    pub(crate) fn release_slot(&mut self, service: ServiceId, target: TargetId) {
+        if let Some(state) = self.target(service, target) {
+            state.in_flight = state.in_flight.saturating_sub(1);
+        }
+    }
+
+    pub(crate) fn target(
+        &mut self,
+        service: ServiceId,
+        target: TargetId,
+    ) -> Option<&mut TargetState> {
+        self.pools.get_mut(&service)?.targets.get_mut(target)
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-core/src/gateway/wait_queue.rs
@@ -0,0 +1,99 @@
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use super::RequestId;
+use crate::units::MonoTime;
+
+/// Holds the requests of a service that found every target full.
+///
+/// The oldest goes first. Once the queue has not been empty for [`OVERLOAD_AFTER`], the newest
+/// goes first and requests wait only briefly, so that the requests that are served are fresh and
+/// the others learn at once that they are not.
+#[derive(Debug, Default)]
+pub(crate) struct WaitQueue {
+    waiting: VecDeque<(MonoTime, RequestId)>,
+    busy_since: Option<MonoTime>,
+}
+
+const OVERLOAD_AFTER: Duration = Duration::from_millis(200);
+/// The longest wait without overload. It exceeds the time that a burst of the usual size needs to
+/// drain, so only a lasting excess is shed.
+const MAX_WAIT: Duration = Duration::from_secs(1);
+/// The longest wait in overload: long enough that a request waits whenever a slot becomes free.
+const MAX_WAIT_OVERLOADED: Duration = Duration::from_millis(100);
+
+impl WaitQueue {
+    pub(crate) fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    pub(crate) fn is_overloaded(&self, now: MonoTime) -> bool {
+        self.busy_since
+            .is_some_and(|t| now.since(t) > OVERLOAD_AFTER)
+    }
+
+    /// Inserts a request by its arrival time.
+    pub(crate) fn push(&mut self, now: MonoTime, arrived: MonoTime, req: RequestId) {
+        self.busy_since.get_or_insert(now);
+        let at = self.waiting.partition_point(|w| *w <= (arrived, req));
+        self.waiting.insert(at, (arrived, req));
+    }
+
+    /// Takes the request to serve next.
+    pub(crate) fn pop(&mut self, now: MonoTime) -> Option<RequestId> {
+        let next = if self.is_overloaded(now) {
+            self.waiting.pop_back()
+        } else {
+            self.waiting.pop_front()
+        };
+        self.note_empty();
+        next.map(|(_, req)| req)
+    }
+
+    /// Takes the oldest request, to shed it.
+    pub(crate) fn pop_oldest(&mut self) -> Option<RequestId> {
+        let oldest = self.waiting.pop_front();
+        self.note_empty();
+        oldest.map(|(_, req)| req)
+    }
+
+    pub(crate) fn remove(&mut self, req: RequestId) {
+        self.waiting.retain(|(_, r)| *r != req);
+        self.note_empty();
+    }
+
+    /// Takes one request that has waited too long.
+    pub(crate) fn pop_expired(&mut self, now: MonoTime) -> Option<RequestId> {
+        let (arrived, _) = *self.waiting.front()?;
+        if now < arrived + self.max_wait(now) {
+            return None;
+        }
+        self.pop_oldest()
+    }
+
+    /// Returns the time at which the next request has waited too long.
+    pub(crate) fn next_expiry(&self) -> Option<MonoTime> {
+        let (arrived, _) = *self.waiting.front()?;
+        let overload = self.busy_since? + OVERLOAD_AFTER + Duration::from_micros(1);
+        let early = overload.max(arrived + MAX_WAIT_OVERLOADED);
+        Some(early.min(arrived + MAX_WAIT))
+    }
+
+    fn max_wait(&self, now: MonoTime) -> Duration {
+        if self.is_overloaded(now) {
+            MAX_WAIT_OVERLOADED
+        } else {
+            MAX_WAIT
+        }
+    }
+
+    fn note_empty(&mut self) {
+        if self.waiting.is_empty() {
+            self.busy_since = None;
+        }
+    }
+}
