Add the experiments flows and balance with their baselines

Cause: the goals for broken flows and imbalance had no measure. `default` runs the core through the harness; hash, maglev, jet and keeper are baselines behind the trait FlowPolicy.

The harness also counts received bytes, since the control budget covers both directions.

--- /dev/null
+++ b/crates/zinniadrift-lab/src/experiments/fleet/report_lag.rs
@@ -0,0 +1,35 @@
+use std::collections::{HashMap, VecDeque};
+
+use zinniadrift_core::balancer::TargetReport;
+use zinniadrift_core::ids::TargetId;
+
+use super::SECOND;
+
+/// The age of the load in a report when it reaches a balancer.
+const LAG: u64 = 10 * SECOND;
+
+/// Delays the load in reports; whether a target answers shows at once.
+#[derive(Debug, Default)]
+pub(crate) struct ReportLag {
+    past: VecDeque<(u64, Vec<TargetReport>)>,
+}
+
+impl ReportLag {
+    /// Takes the current reports and returns what balancers receive now.
+    pub(crate) fn push(&mut self, now: u64, current: Vec<TargetReport>) -> Vec<TargetReport> {
+        let healthy: HashMap<TargetId, bool> =
+            current.iter().map(|r| (r.target, r.healthy)).collect();
+        self.past.push_back((now, current));
+        while self.past.len() > 1 && self.past[1].0 + LAG <= now {
+            self.past.pop_front();
+        }
+        let Some((_, old)) = self.past.front().filter(|(at, _)| at + LAG <= now) else {
+            return Vec::new();
+        };
+        let aged = old.iter().map(|r| TargetReport {
+            healthy: healthy.get(&r.target).copied().unwrap_or(false),
+            ..*r
+        });
+        aged.collect()
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-lab/src/experiments/fleet/scale.rs
@@ -0,0 +1,35 @@
+/// Sets the size of a simulated population.
+#[derive(Clone, Copy, Debug)]
+pub struct Scale {
+    /// The flows that one user has open at the same time.
+    pub flows: usize,
+    /// The mean life of a flow in seconds.
+    pub mean_life_s: f64,
+    /// The mean time in seconds between two packets of a flow.
+    pub packet_interval_s: f64,
+    /// The new flows per second while the population is built up.
+    pub fill_rate: f64,
+}
+
+impl Default for Scale {
+    fn default() -> Self {
+        Self {
+            flows: 100_000,
+            mean_life_s: 7_200.0,
+            packet_interval_s: 20.0,
+            fill_rate: 1_600.0,
+        }
+    }
+}
+
+impl Scale {
+    /// Returns the arrival rate in flows per second that keeps the population stable.
+    pub fn arrival_rate(&self) -> f64 {
+        self.flows as f64 / self.mean_life_s
+    }
+
+    /// Returns the time in seconds that the population takes to build up.
+    pub fn fill_s(&self) -> f64 {
+        self.flows as f64 / self.fill_rate
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-lab/src/experiments/fleet/tally.rs
@@ -0,0 +1,119 @@
+use hdrhistogram::Histogram;
+
+use super::{Cause, LoadSpread, MEMBERS};
+
+/// The largest time that the histogram of held packets keeps, in microseconds.
+const MAX_HELD_MICROS: u64 = 60_000_000;
+
+/// Counts what happened in a simulation.
+#[derive(Clone, Debug)]
+pub(crate) struct Tally {
+    /// Flows broken per [`Cause`].
+    broken: [u64; 3],
+    /// Broken flows whose own target had died.
+    pub(crate) lost_with_target: u64,
+    pub(crate) wrong_service: u64,
+    pub(crate) new_after_leave: u64,
+    pub(crate) packets: u64,
+    pub(crate) dropped: u64,
+    pub(crate) retransmitted: u64,
+    pub(crate) flows: u64,
+    pub(crate) relayed: u64,
+    pub(crate) state_bytes: u64,
+    held: Histogram<u64>,
+    control_bytes: u64,
+    control_member_seconds: u64,
+    worst_control_second: u64,
+    control_before: [u64; MEMBERS],
+    /// The spread of each service at each sample, with the virtual time in seconds.
+    pub(crate) spreads: Vec<(f64, Vec<LoadSpread>)>,
+}
+
+impl Default for Tally {
+    fn default() -> Self {
+        let held = Histogram::new_with_bounds(1, MAX_HELD_MICROS, 3);
+        Self {
+            broken: [0; 3],
+            lost_with_target: 0,
+            wrong_service: 0,
+            new_after_leave: 0,
+            packets: 0,
+            dropped: 0,
+            retransmitted: 0,
+            flows: 0,
+            relayed: 0,
+            state_bytes: 0,
+            held: held.expect("the bounds are constant and valid"),
+            control_bytes: 0,
+            control_member_seconds: 0,
+            worst_control_second: 0,
+            control_before: [0; MEMBERS],
+            spreads: Vec::new(),
+        }
+    }
+}
+
+impl Tally {
+    pub(crate) fn break_flow(&mut self, cause: Cause) {
+        self.broken[cause as usize] += 1;
+    }
+
+    pub(crate) const fn broken(&self, cause: Cause) -> u64 {
+        self.broken[cause as usize]
+    }
+
+    pub(crate) fn hold(&mut self, micros: u64) {
+        self.held.saturating_record(micros);
+    }
+
+    pub(crate) fn held_packets(&self) -> u64 {
+        self.held.len()
+    }
+
+    /// Returns the 99th percentile of the time for which packets were held.
+    pub(crate) fn held_ms_p99(&self) -> f64 {
+        self.held.value_at_quantile(0.99) as f64 / 1e3
+    }
+
+    /// Counts one second of a member from its total of control bytes.
+    pub(crate) fn count_control(&mut self, member: usize, total: u64, measured: bool) {
+        // A restarted member may start its total again.
+        let bytes = total.saturating_sub(self.control_before[member]);
+        self.control_before[member] = total;
+        if measured {
+            self.control_bytes += bytes;
+            self.control_member_seconds += 1;
+            self.worst_control_second = self.worst_control_second.max(bytes);
+        }
+    }
+
+    /// Returns the mean control bytes per second and running member.
+    pub(crate) fn control_bytes_per_s(&self) -> f64 {
+        self.control_bytes as f64 / self.control_member_seconds.max(1) as f64
+    }
+
+    /// Returns the control bytes of the worst second of any member.
+    pub(crate) const fn worst_control_second(&self) -> u64 {
+        self.worst_control_second
+    }
+
+    /// Adds the counts of another user's group.
+    pub(crate) fn merge(&mut self, other: &Self) {
+        for (sum, more) in self.broken.iter_mut().zip(other.broken) {
+            *sum += more;
+        }
+        self.lost_with_target += other.lost_with_target;
+        self.wrong_service += other.wrong_service;
+        self.new_after_leave += other.new_after_leave;
+        self.packets += other.packets;
+        self.dropped += other.dropped;
+        self.retransmitted += other.retransmitted;
+        self.flows += other.flows;
+        self.relayed += other.relayed;
+        self.state_bytes = self.state_bytes.max(other.state_bytes);
+        self.held += &other.held;
+        self.control_bytes += other.control_bytes;
+        self.control_member_seconds += other.control_member_seconds;
+        self.worst_control_second = self.worst_control_second.max(other.worst_control_second);
+    }
+}
--- a/crates/zinniadrift-lab/src/experiments/mod.rs
+++ b/crates/zinniadrift-lab/src/experiments/mod.rs
@@ -1,7 +1,14 @@
 //! Runs the real core under a virtual clock and measures it.
 
+pub mod balance;
 mod experiment;
+mod fleet;
+pub mod flows;
 mod measure_line;
+mod policies;
+mod report;
+mod run_groups;
 
 pub use experiment::{EXPERIMENTS, Experiment};
+pub use fleet::Scale;
 pub use measure_line::MeasureLine;
--- /dev/null
+++ b/crates/zinniadrift-lab/src/experiments/policies/baseline.rs
@@ -0,0 +1,203 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use zinniadrift_core::balancer::{DropReason, TargetReport};
+use zinniadrift_core::flow::{FlowKey, FlowPacket, PacketKind};
+use zinniadrift_core::ids::PacketToken;
+use zinniadrift_core::settings::ServiceCatalog;
+use zinniadrift_core::units::MonoTime;
+
+use super::FlowPolicy;
+use super::member_view::MemberView;
+use super::rule::{Rule, RuleContext};
+use crate::experiments::fleet::{EventQueue, MEMBERS, SECOND};
+use crate::harness::{Delivery, Outcome};
+
+/// IP and UDP headers of a datagram.
+pub(crate) const HEADER_BYTES: u64 = 28;
+
+const HEARTBEAT_PAYLOAD_BYTES: u64 = 40;
+const DEAD_TIMEOUT: u64 = 3 * SECOND;
+/// The grace period in which a leaving member still forwards packets.
+const LEAVE_GRACE: u64 = 5 * SECOND;
+/// The one-way delay between two members, in microseconds.
+const RELAY_DELAY: Duration = Duration::from_micros(500);
+
+/// Runs a baseline: members without any protocol among them except what its rule counts.
+#[derive(Debug)]
+pub(crate) struct Baseline<R> {
+    rule: R,
+    now: MonoTime,
+    views: Vec<MemberView>,
+    running: [bool; MEMBERS],
+    believed_alive: [bool; MEMBERS],
+    control_bytes: [u64; MEMBERS],
+    relayed: u64,
+    packets: u64,
+    queue: EventQueue<Event>,
+    deliveries: Vec<Delivery>,
+}
+
+#[derive(Debug)]
+enum Event {
+    Settings(usize, Arc<ServiceCatalog>),
+    Stopped(usize),
+    BelievedDead(usize),
+    Heartbeats,
+}
+
+impl<R: Rule> Baseline<R> {
+    pub(crate) fn new(rule: R) -> Self {
+        let mut queue = EventQueue::default();
+        if rule.has_membership() {
+            queue.push(SECOND, Event::Heartbeats);
+        }
+        Self {
+            rule,
+            now: MonoTime::default(),
+            views: (0..MEMBERS).map(|_| MemberView::default()).collect(),
+            running: [true; MEMBERS],
+            believed_alive: [true; MEMBERS],
+            control_bytes: [0; MEMBERS],
+            relayed: 0,
+            packets: 0,
+            queue,
+            deliveries: Vec::new(),
+        }
+    }
+
+    fn run(&mut self, time: u64, event: Event) {
+        match event {
+            Event::Settings(member, catalog) if self.running[member] => {
+                self.views[member].install(catalog);
+            }
+            Event::Settings(..) => {}
+            Event::Stopped(member) => {
+                self.kill(member);
+                self.believed_alive[member] = false;
+            }
+            Event::BelievedDead(member) => self.believed_alive[member] = self.running[member],
+            Event::Heartbeats => {
+                self.queue.push(time + SECOND, Event::Heartbeats);
+                self.exchange_heartbeats();
+            }
+        }
+    }
+
+    fn exchange_heartbeats(&mut self) {
+        let peers = self.running.iter().filter(|r| **r).count() as u64 - 1;
+        let bytes = 2 * peers * (HEARTBEAT_PAYLOAD_BYTES + HEADER_BYTES);
+        for (member, _) in self.running.iter().enumerate().filter(|(_, r)| **r) {
+            self.control_bytes[member] += bytes;
+        }
+    }
+
+    fn decide(&mut self, member: usize, pkt: &FlowPacket) -> (usize, Outcome) {
+        if !self.running[member] {
+            return (member, Outcome::Lost);
+        }
+        let mut cx = RuleContext {
+            views: &self.views,
+            believed_alive: &self.believed_alive,
+            control_bytes: &mut self.control_bytes,
+            relayed: &mut self.relayed,
+            at_member: member,
+        };
+        let target = self.rule.place(member, pkt, &mut cx);
+        let at_member = cx.at_member;
+        let outcome = match target {
+            _ if !self.running[at_member] => Outcome::Lost,
+            Some(target) => Outcome::Forwarded(target),
+            None => Outcome::Dropped(DropReason::NoTarget),
+        };
+        (at_member, outcome)
+    }
+}
+
+impl<R: Rule> FlowPolicy for Baseline<R> {
+    fn run_until(&mut self, now: MonoTime) {
+        while self.queue.next_time().is_some_and(|t| t <= now.as_micros()) {
+            if let Some((time, event)) = self.queue.pop() {
+                self.run(time, event);
+            }
+        }
+        self.now = now;
+    }
+
+    fn packet(&mut self, member: usize, flow: FlowKey, kind: PacketKind) {
+        self.packets += 1;
+        let packet = FlowPacket {
+            flow,
+            kind,
+            relayed: false,
+            token: PacketToken::from(self.packets),
+        };
+        let (at_member, outcome) = self.decide(member, &packet);
+        let relayed = at_member != member;
+        let at = if relayed {
+            self.now + RELAY_DELAY
+        } else {
+            self.now
+        };
+        self.deliveries.push(Delivery {
+            packet: FlowPacket { relayed, ..packet },
+            member: at_member,
+            at,
+            outcome,
+        });
+    }
+
+    fn take_deliveries(&mut self) -> Vec<Delivery> {
+        std::mem::take(&mut self.deliveries)
+    }
+
+    fn settings(&mut self, member: usize, catalog: &Arc<ServiceCatalog>, delay: Duration) {
+        let at = (self.now + delay).as_micros();
+        self.queue
+            .push(at, Event::Settings(member, Arc::clone(catalog)));
+    }
+
+    fn report(&mut self, report: TargetReport) {
+        for view in &mut self.views {
+            view.observe(&report);
+        }
+    }
+
+    fn restart(&mut self, member: usize) {
+        self.running[member] = true;
+        self.believed_alive[member] = true;
+        self.views[member] = MemberView::default();
+    }
+
+    fn leave(&mut self, member: usize) {
+        let at = self.now.as_micros() + LEAVE_GRACE;
+        self.queue.push(at, Event::Stopped(member));
+    }
+
+    fn kill(&mut self, member: usize) {
+        self.running[member] = false;
+        self.rule.forget(member);
+        let at = self.now.as_micros() + DEAD_TIMEOUT;
+        self.queue.push(at, Event::BelievedDead(member));
+    }
+
+    fn is_running(&self, member: usize) -> bool {
+        self.running[member]
+    }
+
+    fn is_serving(&self, member: usize) -> bool {
+        self.running[member] && self.views[member].is_ready()
+    }
+
+    fn control_bytes(&self, member: usize) -> u64 {
+        self.control_bytes[member]
+    }
+
+    fn relayed(&self) -> u64 {
+        self.relayed
+    }
+
+    fn state_bytes(&self) -> u64 {
+        self.rule.state_bytes() / MEMBERS as u64
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-lab/src/experiments/policies/keeper.rs
@@ -0,0 +1,106 @@
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use zinniadrift_core::flow::{FlowKey, FlowPacket, PacketKind};
+use zinniadrift_core::ids::TargetId;
+
+use super::local_tables::LocalTables;
+use super::rule::{Rule, RuleContext};
+
+/// Payload of the datagram that copies an entry: flow, target and envelope.
+const COPY_BYTES: u64 = 48;
+/// Payload of an acknowledgement or of a question for an entry.
+const SHORT_BYTES: u64 = 32;
+
+/// Gives each flow to one member, which decides for all its packets and copies its entry to one
+/// more member.
+#[derive(Debug, Default)]
+pub(crate) struct Keeper {
+    owned: LocalTables,
+}
+
+impl Rule for Keeper {
+    fn place(&mut self, member: usize, pkt: &FlowPacket, cx: &mut RuleContext) -> Option<TargetId> {
+        let (owner, backup) = rank(&pkt.flow, cx.believed_alive)?;
+        cx.at_member = owner;
+        if owner != member {
+            *cx.relayed += 1;
+        }
+        let view = &cx.views[owner];
+        let alive = |t: &TargetId| view.is_alive(*t);
+        if matches!(pkt.kind, PacketKind::Close | PacketKind::Reset) {
+            let known = self.owned.get(owner, &pkt.flow);
+            self.owned.remove(owner, &pkt.flow);
+            if let Some(backup) = backup {
+                self.owned.remove(backup, &pkt.flow);
+                cx.count_datagram(owner, backup, COPY_BYTES);
+            }
+            return known.or_else(|| cx.views[owner].live_owner(&pkt.flow));
+        }
+        let copy = backup.and_then(|b| self.owned.get(b, &pkt.flow));
+        if let Some(target) = self.owned.get(owner, &pkt.flow).filter(alive) {
+            if copy != Some(target) {
+                self.store(owner, backup, &pkt.flow, target, pkt.kind, cx);
+            }
+            return Some(target);
+        }
+        let target = match copy.filter(alive) {
+            Some(target) => target,
+            None => view.live_owner(&pkt.flow)?,
+        };
+        self.store(owner, backup, &pkt.flow, target, pkt.kind, cx);
+        Some(target)
+    }
+
+    fn forget(&mut self, member: usize) {
+        self.owned.clear(member);
+    }
+
+    fn state_bytes(&self) -> u64 {
+        self.owned.bytes()
+    }
+
+    fn has_membership(&self) -> bool {
+        true
+    }
+}
+
+impl Keeper {
+    /// Stores an entry on the owner and on the backup, and counts the datagrams that this takes.
+    fn store(
+        &mut self,
+        owner: usize,
+        backup: Option<usize>,
+        flow: &FlowKey,
+        target: TargetId,
+        kind: PacketKind,
+        cx: &mut RuleContext,
+    ) {
+        self.owned.insert(owner, flow, target);
+        let Some(backup) = backup else {
+            return;
+        };
+        self.owned.insert(backup, flow, target);
+        if kind != PacketKind::Open {
+            cx.count_datagram(owner, backup, SHORT_BYTES);
+        }
+        cx.count_datagram(owner, backup, COPY_BYTES);
+        cx.count_datagram(backup, owner, SHORT_BYTES);
+    }
+}
+
+/// Returns the two members with the highest rendezvous weights for a flow.
+fn rank(flow: &FlowKey, alive: &[bool]) -> Option<(usize, Option<usize>)> {
+    let hash = flow.hash64().to_le_bytes();
+    let mut best: Option<(u64, usize)> = None;
+    let mut second: Option<(u64, usize)> = None;
+    for (member, _) in alive.iter().enumerate().filter(|(_, alive)| **alive) {
+        let scored = Some((xxh3_64_with_seed(&hash, member as u64), member));
+        if scored > best {
+            second = best;
+            best = scored;
+        } else if scored > second {
+            second = scored;
+        }
+    }
+    best.map(|(_, owner)| (owner, second.map(|(_, member)| member)))
+}
--- /dev/null
+++ b/crates/zinniadrift-lab/src/experiments/policies/local_tables.rs
@@ -0,0 +1,47 @@
+use hashbrown::HashMap;
+
+use zinniadrift_core::flow::FlowKey;
+use zinniadrift_core::ids::TargetId;
+
+use super::super::fleet::MEMBERS;
+
+/// Bytes per entry: a 64-bit flow hash, a 32-bit target and the share of free slots.
+const ENTRY_BYTES: u64 = 16;
+
+/// Holds a flow table for each member.
+#[derive(Debug)]
+pub(crate) struct LocalTables {
+    tables: [HashMap<u64, TargetId>; MEMBERS],
+}
+
+impl Default for LocalTables {
+    fn default() -> Self {
+        Self {
+            tables: std::array::from_fn(|_| HashMap::new()),
+        }
+    }
+}
+
+impl LocalTables {
+    pub(crate) fn get(&self, member: usize, flow: &FlowKey) -> Option<TargetId> {
+        self.tables[member].get(&flow.hash64()).copied()
+    }
+
+    pub(crate) fn insert(&mut self, member: usize, flow: &FlowKey, target: TargetId) {
+        self.tables[member].insert(flow.hash64(), target);
+    }
+
+    pub(crate) fn remove(&mut self, member: usize, flow: &FlowKey) {
+        self.tables[member].remove(&flow.hash64());
+    }
+
+    pub(crate) fn clear(&mut self, member: usize) {
+        self.tables[member].clear();
+    }
+
+    /// Returns the bytes of all members' entries.
+    pub(crate) fn bytes(&self) -> u64 {
+        let entries: usize = self.tables.iter().map(HashMap::len).sum();
+        entries as u64 * ENTRY_BYTES
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-lab/src/experiments/policies/mod.rs
@@ -0,0 +1,54 @@
+//! Holds the policies that are compared on the same seeds.
+
+mod baseline;
+mod core_group;
+mod flow_policy;
+mod hash;
+mod jet;
+mod keeper;
+mod local_tables;
+mod maglev;
+mod member_view;
+mod rule;
+
+pub(crate) use core_group::CoreGroup;
+pub(crate) use flow_policy::FlowPolicy;
+
+use baseline::Baseline;
+use hash::Hash;
+use jet::Jet;
+use keeper::Keeper;
+use maglev::Maglev;
+
+use super::fleet::UserGroup;
+
+/// Names all policies; the first is the chosen one.
+pub(crate) const POLICIES: &[&str] = &[
+    "default",
+    "hash",
+    "maglev",
+    "jet",
+    "keeper",
+    "default-no-balance",
+    "default-tight",
+];
+
+/// Returns the `imbalance_tolerance` with which a policy runs, if it overrides the default.
+pub(crate) fn imbalance_tolerance(policy: &str) -> Option<f64> {
+    match policy {
+        "default-no-balance" => Some(1.0),
+        "default-tight" => Some(0.0),
+        _ => None,
+    }
+}
+
+/// Starts the members of a user's group under the named policy.
+pub(crate) fn start(policy: &str, user: &UserGroup, seed: u64) -> Box<dyn FlowPolicy> {
+    match policy {
+        "hash" => Box::new(Baseline::new(Hash)),
+        "maglev" => Box::new(Baseline::new(Maglev::default())),
+        "jet" => Box::new(Baseline::new(Jet::default())),
+        "keeper" => Box::new(Baseline::new(Keeper::default())),
+        _ => Box::new(CoreGroup::start(user, seed)),
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-lab/src/experiments/run_groups.rs
@@ -0,0 +1,30 @@
+use std::thread;
+
+use super::fleet::{Change, GROUPS, Scale, Simulation, Tally};
+
+/// Runs the script for both users, each in a thread of its own, and returns a tally per user.
+pub(crate) fn run_groups(
+    policy: &str,
+    seed: u64,
+    scale: Scale,
+    misleading: bool,
+    script: &[Change],
+    end_s: f64,
+) -> Vec<Tally> {
+    thread::scope(|scope| {
+        let runs: Vec<_> = GROUPS
+            .iter()
+            .zip(seed..)
+            .map(|(user, seed)| {
+                scope.spawn(move || {
+                    let simulation = Simulation::new(user, policy, seed, scale, misleading);
+                    simulation.run(script.to_vec(), end_s)
+                })
+            })
+            .collect();
+        let joined = runs.into_iter().map(|run| run.join());
+        joined
+            .map(|tally| tally.expect("a simulation does not panic"))
+            .collect()
+    })
+}
--- a/crates/zinniadrift-lab/src/harness/group.rs
+++ b/crates/zinniadrift-lab/src/harness/group.rs
@@ -240,6 +240,7 @@
             Arrival::Packet(packet) => self.forward(to, packet),
             Arrival::Settings(catalog) => self.event(to, BalancerEvent::Settings(catalog)),
             Arrival::Message(from, incarnation, msg) => {
+                self.members[to].bytes_received += msg.encoded_len() as u64;
                 let event = BalancerEvent::Peer {
                     from,
                     incarnation,
--- a/crates/zinniadrift-lab/src/harness/member.rs
+++ b/crates/zinniadrift-lab/src/harness/member.rs
@@ -18,6 +18,8 @@
     pub paused: bool,
     /// Bytes sent to peers in each second since the origin of the clock.
     pub bytes_per_second: Vec<u64>,
+    /// Bytes of messages received from peers.
+    pub(super) bytes_received: u64,
     /// The state changes that the core reported.
     pub timeline: Vec<(MonoTime, TimelineEvent)>,
     pub(super) held: HashMap<PacketToken, FlowPacket>,
@@ -32,6 +34,7 @@
             alive: true,
             paused: false,
             bytes_per_second: Vec::new(),
+            bytes_received: 0,
             timeline: Vec::new(),
             held: HashMap::new(),
             backlog: Vec::new(),
@@ -43,6 +46,11 @@
         self.bytes_per_second.iter().sum()
     }
 
+    /// Returns all bytes received from peers while the process ran.
+    pub fn bytes_received(&self) -> u64 {
+        self.bytes_received
+    }
+
     pub(super) fn count_bytes(&mut self, now: MonoTime, len: usize) {
         let second = (now.as_micros() / 1_000_000) as usize;
         if self.bytes_per_second.len() <= second {
