--- a/crates/zinniadrift-lab/src/experiments/experiment.rs
+++ b/crates/zinniadrift-lab/src/experiments/experiment.rs
@@ -1,4 +1,4 @@
-use super::{MeasureLine, balance, flows};
+use super::{MeasureLine, balance, cost, flows};
 
 /// Is an experiment that `measure` can run by name.
 #[derive(Clone, Copy, Debug)]
@@ -12,4 +12,4 @@
 }
 
 /// Lists all experiments.
-pub const EXPERIMENTS: &[Experiment] = &[flows::EXPERIMENT, balance::EXPERIMENT];
+pub const EXPERIMENTS: &[Experiment] = &[flows::EXPERIMENT, balance::EXPERIMENT, cost::EXPERIMENT];
--- a/crates/zinniadrift-lab/src/experiments/mod.rs
+++ b/crates/zinniadrift-lab/src/experiments/mod.rs
@@ -1,6 +1,7 @@
 //! Runs the real core under a virtual clock and measures it.
 
 pub mod balance;
+mod cost;
 mod experiment;
 mod fleet;
 pub mod flows;
