Check decoders and add the time line's collector and sender

Peer datagrams are length-checked and bound to their group before use; a Geneve control packet or an unknown critical option is refused as RFC 8926 asks.

--- a/crates/zinniadrift-runtime/src/geneve/frame.rs
+++ b/crates/zinniadrift-runtime/src/geneve/frame.rs
@@ -16,6 +16,10 @@
 /// Option class of the experimental range (RFC 8926, section 3.5).
 const OPTION_CLASS: u16 = 0xff21;
 const OPTION_RELAYED: u8 = 0x01;
+/// Marks a packet that carries no data for the receiver to forward.
+const CONTROL_BIT: u8 = 0x80;
+/// Marks an option that a receiver must understand or drop the packet (RFC 8926, section 3.5).
+const CRITICAL_BIT: u8 = 0x80;
 
 /// Is one decoded Geneve datagram with the caller's IP packet.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -42,7 +46,8 @@
         }
         let options_bytes = usize::from(datagram[0] & 0x3f) * 4;
         let protocol = u16::from_be_bytes([datagram[2], datagram[3]]);
-        if datagram[0] >> 6 != 0 || protocol != PROTOCOL_IPV4 {
+        let control = datagram[1] & CONTROL_BIT != 0;
+        if datagram[0] >> 6 != 0 || control || protocol != PROTOCOL_IPV4 {
             return Err(DecodeError::Unsupported);
         }
         let start = HEADER_BYTES + options_bytes;
@@ -88,7 +93,11 @@
         if options.len() < 4 + body {
             return Err(DecodeError::Truncated);
         }
-        relayed |= class == OPTION_CLASS && options[2] == OPTION_RELAYED;
+        let known = class == OPTION_CLASS && options[2] == OPTION_RELAYED;
+        if !known && options[2] & CRITICAL_BIT != 0 {
+            return Err(DecodeError::Unsupported);
+        }
+        relayed |= known;
         options = &options[4 + body..];
     }
     Ok(relayed)
--- a/crates/zinniadrift-runtime/src/lib.rs
+++ b/crates/zinniadrift-runtime/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod daemon;
 pub mod gateway;
 pub mod geneve;
+pub mod timeline;
--- /dev/null
+++ b/crates/zinniadrift-runtime/src/timeline/clock.rs
@@ -0,0 +1,39 @@
+use std::time::Duration;
+
+use uhlc::{HLC, HLCBuilder, ID, NTP64, Timestamp};
+
+/// Hosts' clocks may differ by this much; a later timestamp is ignored as a fault of its sender.
+const MAX_CLOCK_DELTA: Duration = Duration::from_secs(60);
+
+/// Is the hybrid logical clock of one process.
+#[derive(derive_more::Debug)]
+pub struct Clock {
+    #[debug(skip)]
+    hlc: HLC,
+}
+
+impl Clock {
+    /// Returns the clock of the member with the given number and run.
+    pub fn new(member: u32, incarnation: u64) -> Self {
+        let number = (u128::from(incarnation) << 32) | u128::from(member);
+        let id = ID::try_from(number).unwrap_or_else(|_| ID::rand());
+        let hlc = HLCBuilder::new()
+            .with_id(id)
+            .with_max_delta(MAX_CLOCK_DELTA)
+            .build();
+        Self { hlc }
+    }
+
+    /// Returns a time later than all that this clock gave or received, as NTP64.
+    pub fn now(&self) -> u64 {
+        self.hlc.new_timestamp().get_time().as_u64()
+    }
+
+    /// Moves the clock past a time received from another process.
+    pub fn observe(&self, time: u64) {
+        let received = Timestamp::new(NTP64(time), *self.hlc.get_id());
+        if let Err(e) = self.hlc.update_with_timestamp(&received) {
+            tracing::debug!(error = %e, "received time ignored");
+        }
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-runtime/src/timeline/mod.rs
@@ -0,0 +1,22 @@
+//! Carries the state changes of all processes to one time line.
+//!
+//! [`Recorder`] stamps events in a daemon and sends them within the control budget; [`Collector`]
+//! merges the events of all processes and serves them to `zinniadrift-timeline show`.
+
+mod clock;
+mod collector;
+mod event;
+mod fetch;
+mod filter;
+mod recorder;
+mod sender;
+mod service;
+
+pub use clock::Clock;
+pub use collector::{Collector, DEFAULT_CAPACITY};
+pub use event::Event;
+pub use fetch::fetch_events;
+pub use filter::Filter;
+pub use recorder::{Recorder, Subject};
+pub use sender::{REPORT_BURST_BYTES, REPORT_BYTES_PER_S};
+pub use service::serve_collector;
--- /dev/null
+++ b/crates/zinniadrift-runtime/src/timeline/sender.rs
@@ -0,0 +1,115 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use prost::Message;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep, timeout};
+use tokio_util::sync::CancellationToken;
+use tonic::transport::{Channel, Endpoint};
+
+use zinniadrift_proto::v1::timeline_client::TimelineClient;
+use zinniadrift_proto::v1::{TimelineEvent, TimelineReport};
+
+use super::Event;
+
+/// The mean bytes per second that a process spends on reports: a third of the control budget.
+pub const REPORT_BYTES_PER_S: usize = 1_024;
+/// The bytes that may be sent at once after a quiet time.
+pub const REPORT_BURST_BYTES: usize = 8_192;
+
+/// Events of this period share a report.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// The time that the last report may take when the process stops.
+const FINAL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Sends reports until `stop` is cancelled.
+pub(super) async fn run_sender(
+    collector: SocketAddr,
+    rx: mpsc::Receiver<Event>,
+    dropped: Arc<AtomicU64>,
+    stop: CancellationToken,
+) {
+    let Ok(endpoint) = Endpoint::from_shared(format!("http://{collector}")) else {
+        return;
+    };
+    let endpoint = endpoint.connect_timeout(CALL_TIMEOUT).timeout(CALL_TIMEOUT);
+    let mut sender = Sender {
+        client: TimelineClient::new(endpoint.connect_lazy()),
+        rx,
+        dropped,
+        reported_drops: 0,
+        unsent: Vec::new(),
+        budget: REPORT_BURST_BYTES,
+        refilled: Instant::now(),
+    };
+    while !stop.is_cancelled() {
+        tokio::select! {
+            () = stop.cancelled() => {}
+            () = sleep(REPORT_INTERVAL) => sender.report().await,
+        }
+    }
+    // The last events tell how the process ended, so the budget does not hold them back.
+    sender.budget = REPORT_BURST_BYTES;
+    if timeout(FINAL_TIMEOUT, sender.report()).await.is_err() {
+        tracing::debug!("last events not reported");
+    }
+}
+
+struct Sender {
+    client: TimelineClient<Channel>,
+    rx: mpsc::Receiver<Event>,
+    dropped: Arc<AtomicU64>,
+    reported_drops: u64,
+    unsent: Vec<TimelineEvent>,
+    budget: usize,
+    refilled: Instant,
+}
+
+impl Sender {
+    async fn report(&mut self) {
+        self.refill();
+        if self.unsent.is_empty() {
+            self.collect();
+        }
+        if self.unsent.is_empty() {
+            return;
+        }
+        let dropped = self.dropped.load(Ordering::Relaxed);
+        let report = TimelineReport {
+            events: self.unsent.clone(),
+            dropped: dropped - self.reported_drops,
+        };
+        let bytes = report.encoded_len();
+        match self.client.report(report).await {
+            Ok(_) => {
+                self.unsent.clear();
+                self.reported_drops = dropped;
+                self.budget = self.budget.saturating_sub(bytes);
+            }
+            Err(e) => tracing::debug!(error = %e, "events not reported"),
+        }
+    }
+
+    /// Takes as many events from the queue as the budget allows.
+    fn collect(&mut self) {
+        let mut bytes = 0;
+        while bytes < self.budget {
+            let Ok(event) = self.rx.try_recv() else {
+                return;
+            };
+            let event = TimelineEvent::from(event);
+            bytes += event.encoded_len();
+            self.unsent.push(event);
+        }
+    }
+
+    fn refill(&mut self) {
+        let elapsed = self.refilled.elapsed().as_secs_f64();
+        self.refilled = Instant::now();
+        let earned = (elapsed * REPORT_BYTES_PER_S as f64) as usize;
+        self.budget = (self.budget + earned).min(REPORT_BURST_BYTES);
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-timeline/src/cmd/mod.rs
@@ -0,0 +1,29 @@
+//! Holds one module per command.
+
+pub(crate) mod serve;
+pub(crate) mod show;
+
+use pico_args::Arguments;
+use snafu::ResultExt;
+
+use crate::timeline_error::{IoSnafu, TimelineError, UsageSnafu};
+
+/// Refuses arguments that no command took.
+fn finish(args: Arguments) -> Result<(), TimelineError> {
+    match args.finish().first() {
+        Some(arg) => UsageSnafu {
+            text: format!("unknown argument {}; see --help", arg.display()),
+        }
+        .fail(),
+        None => Ok(()),
+    }
+}
+
+/// Runs a future on a runtime of its own.
+fn block_on<T>(fut: impl Future<Output = Result<T, TimelineError>>) -> Result<T, TimelineError> {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(IoSnafu { what: "runtime" })?
+        .block_on(fut)
+}
--- /dev/null
+++ b/tests/testsuite/decoders.rs
@@ -0,0 +1,179 @@
+//! Checks that no datagram can stop a daemon: decoders return errors and never panic.
+//!
+//! The seed is fixed; `ZINNIADRIFT_DECODER_CASES` and `ZINNIADRIFT_SEED` ask for a longer run.
+
+#![allow(clippy::unwrap_used)]
+
+use bytes::Bytes;
+use etherparse::PacketBuilder;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+use zinniadrift_proto::v1::datagram::Body;
+use zinniadrift_proto::v1::{Datagram, Heartbeat, Pin, Publish};
+use zinniadrift_proto::{DatagramError, MAX_PEER_DATAGRAM_BYTES};
+use zinniadrift_runtime::geneve::{Frame, MAX_DATAGRAM_BYTES};
+
+const DEFAULT_CASES: u64 = 512;
+
+fn number(name: &str, default: u64) -> u64 {
+    std::env::var(name)
+        .ok()
+        .and_then(|v| v.parse().ok())
+        .unwrap_or(default)
+}
+
+/// Runs `check` on generated inputs; a failure names the seed.
+fn run<S: Strategy>(strategy: &S, check: impl Fn(S::Value) -> Result<(), TestCaseError>) {
+    let seed = number("ZINNIADRIFT_SEED", 1);
+    let cases = number("ZINNIADRIFT_DECODER_CASES", DEFAULT_CASES);
+    let mut bytes = [0; 32];
+    bytes[..8].copy_from_slice(&seed.to_le_bytes());
+    let config = Config {
+        cases: u32::try_from(cases).unwrap(),
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    if let Err(e) = runner.run(strategy, check) {
+        panic!("seed {seed}: {e}");
+    }
+}
+
+fn tcp_packet(payload: &[u8]) -> Vec<u8> {
+    let builder = PacketBuilder::ipv4([127, 9, 0, 1], [127, 20, 0, 1], 64).tcp(1_000, 443, 1, 1);
+    let mut packet = Vec::new();
+    builder.write(&mut packet, payload).unwrap();
+    packet
+}
+
+fn publish(pins: usize) -> Datagram {
+    let pin = Pin {
+        service: 1,
+        caller_ip: 2,
+        caller_port: 60_000,
+        target: 3,
+        time: u64::MAX,
+    };
+    let pins = vec![pin; pins];
+    Datagram {
+        group: "granite".into(),
+        body: Some(Body::Publish(Publish { number: 7, pins })),
+        ..Datagram::default()
+    }
+}
+
+#[test]
+fn random_frames_do_not_panic() {
+    let input = prop::collection::vec(any::<u8>(), 0..MAX_DATAGRAM_BYTES / 8);
+    run(&input, |bytes| {
+        let _ = Frame::decode(&bytes.into());
+        Ok(())
+    });
+}
+
+/// Guards the bounds checks of option lists, which random bytes rarely reach.
+#[test]
+fn altered_frames_do_not_panic() {
+    let input = (
+        any::<bool>(),
+        any::<Vec<u8>>(),
+        any::<prop::sample::Index>(),
+        any::<[u8; 3]>(),
+    );
+    run(&input, |(relayed, payload, at, change)| {
+        let mut bytes = Frame::encode(&tcp_packet(&payload), relayed).to_vec();
+        let at = at.index(bytes.len());
+        for (i, value) in change.into_iter().enumerate() {
+            if let Some(byte) = bytes.get_mut(at + i) {
+                *byte = value;
+            }
+        }
+        let _ = Frame::decode(&bytes.into());
+        Ok(())
+    });
+}
+
+#[test]
+fn truncated_frames_are_refused() {
+    run(&any::<(bool, Vec<u8>)>(), |(relayed, payload)| {
+        let whole = Frame::encode(&tcp_packet(&payload), relayed);
+        prop_assert!(Frame::decode(&whole).is_ok_and(|f| f.relayed == relayed));
+        for len in 0..whole.len() {
+            prop_assert!(
+                Frame::decode(&whole.slice(..len)).is_err(),
+                "length {}",
+                len
+            );
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn random_peer_datagrams_do_not_panic() {
+    let input = prop::collection::vec(any::<u8>(), 0..2 * MAX_PEER_DATAGRAM_BYTES);
+    run(&input, |bytes| {
+        let result = Datagram::decode_checked("granite", &bytes);
+        prop_assert!(result.is_err() || bytes.len() <= MAX_PEER_DATAGRAM_BYTES);
+        Ok(())
+    });
+}
+
+#[test]
+fn truncated_peer_datagrams_do_not_panic() {
+    let heartbeat = Heartbeat {
+        name: "balancer-lowell".into(),
+        zone: "lowell".into(),
+        ..Heartbeat::default()
+    };
+    let datagrams = [
+        publish(30),
+        Datagram {
+            body: Some(Body::Heartbeat(heartbeat)),
+            ..publish(0)
+        },
+    ];
+    for datagram in datagrams {
+        let whole = datagram.encode_checked().unwrap();
+        assert_eq!(Datagram::decode_checked("granite", &whole), Ok(datagram));
+        for len in 0..whole.len() {
+            let _ = Datagram::decode_checked("granite", &whole[..len]);
+        }
+    }
+}
+
+/// Guards the length limit, the group check and the check for a body.
+#[test]
+fn foreign_peer_datagrams_are_refused() {
+    let refused = |bytes: &[u8]| Datagram::decode_checked("granite", bytes).unwrap_err();
+    assert_eq!(publish(200).encode_checked(), Err(DatagramError::TooLong));
+    assert_eq!(refused(&[0; 1_401]), DatagramError::TooLong);
+    let other = Datagram {
+        group: "verband".into(),
+        ..publish(1)
+    };
+    assert_eq!(
+        refused(&other.encode_checked().unwrap()),
+        DatagramError::OtherGroup
+    );
+    let empty = Datagram {
+        body: None,
+        ..publish(1)
+    };
+    assert_eq!(
+        refused(&empty.encode_checked().unwrap()),
+        DatagramError::Malformed
+    );
+}
+
+/// Guards the rule of RFC 8926 that an unknown critical option drops the packet.
+#[test]
+fn unknown_critical_option_is_refused() {
+    let mut bytes = vec![1, 0, 8, 0, 0, 0, 0, 0, 0x12, 0x34, 0x80, 0];
+    bytes.extend(tcp_packet(b"ping"));
+    assert!(Frame::decode(&Bytes::from(bytes.clone())).is_err());
+    bytes[10] = 0;
+    assert!(Frame::decode(&Bytes::from(bytes)).is_ok());
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,3 +1,4 @@
 //! Holds the integration tests, a module per topic.
 
+mod decoders;
 mod settings;
