Drive the balancer and gateway cores with sockets, timers and platform calls

The drivers own all input and output: packets are read in batches, held packets wait under their token, peer datagrams and tonic calls share an address, the settings distribution runs as a task of its own, and targets are polled every 3 s. Seeds name the daemon, its role and zone, because a member's id comes from its name.

--- a/crates/zinniadrift-proto/src/datagram.rs
+++ b/crates/zinniadrift-proto/src/datagram.rs
@@ -1,7 +1,12 @@
 use prost::Message;
 
+use zinniadrift_core::balancer::PeerMessage;
+use zinniadrift_core::units::Version;
+
 use crate::DatagramError;
-use crate::v1::Datagram;
+use crate::pin_group::{group_pins, ungroup_pins};
+use crate::v1::datagram::Body;
+use crate::v1::{self, Datagram};
 
 /// The largest datagram between members, in bytes; it fits an Ethernet frame without fragments.
 pub const MAX_PEER_DATAGRAM_BYTES: usize = 1_400;
@@ -37,4 +42,65 @@
         }
         Ok(self.encode_to_vec())
     }
+
+    /// Returns the message in the datagram.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a field has a value that the message cannot have.
+    pub fn into_message(self) -> Result<PeerMessage, DatagramError> {
+        Ok(match self.body.ok_or(DatagramError::Malformed)? {
+            Body::Heartbeat(h) => PeerMessage::Heartbeat(h.try_into()?),
+            Body::Publish(p) => PeerMessage::Publish {
+                number: p.number,
+                pins: ungroup_pins(p.groups)?,
+            },
+            Body::PublishAck(a) => PeerMessage::PublishAck { number: a.number },
+            Body::SettingsNotice(n) => PeerMessage::SettingsNotice {
+                version: Version::from(n.version),
+            },
+            Body::SnapshotRequest(r) => PeerMessage::SnapshotRequest {
+                id: r.id,
+                index: r.index,
+            },
+            Body::SnapshotPart(p) => p.try_into()?,
+            Body::Goodbye(_) => PeerMessage::Goodbye,
+        })
+    }
+}
+
+impl From<PeerMessage> for Body {
+    fn from(msg: PeerMessage) -> Self {
+        match msg {
+            PeerMessage::Heartbeat(h) => Self::Heartbeat(h.into()),
+            PeerMessage::Publish { number, pins } => Self::Publish(v1::Publish {
+                number,
+                groups: group_pins(&pins),
+            }),
+            PeerMessage::PublishAck { number } => Self::PublishAck(v1::PublishAck { number }),
+            PeerMessage::SettingsNotice { version } => {
+                let version = version.get();
+                Self::SettingsNotice(v1::SettingsNotice { version })
+            }
+            PeerMessage::SnapshotRequest { id, index } => {
+                Self::SnapshotRequest(v1::SnapshotRequest { id, index })
+            }
+            PeerMessage::SnapshotPart {
+                id,
+                index,
+                total,
+                publication,
+                pins,
+                bases,
+            } => Self::SnapshotPart(v1::SnapshotPart {
+                id,
+                index,
+                total,
+                publication,
+                groups: group_pins(&pins),
+                bases: bases.into_iter().map(Into::into).collect(),
+            }),
+            PeerMessage::Goodbye => Self::Goodbye(v1::Goodbye {}),
+        }
+    }
 }
--- a/crates/zinniadrift-proto/src/lib.rs
+++ b/crates/zinniadrift-proto/src/lib.rs
@@ -1,9 +1,18 @@
 //! Defines the messages between zinniadrift's own processes.
 //!
-//! The types in [`v1`] are generated from `proto/zinniadrift.proto` by `cargo xtask generate`.
+//! The types in [`v1`] are generated from `proto/zinniadrift.proto` by `cargo xtask generate`; the
+//! other modules convert them to and from the core's types, one message per file.
 
+mod base_set;
+mod claim_op;
+mod claim_verdict;
 mod datagram;
 mod datagram_error;
+mod heartbeat;
+mod pin_group;
+mod rebase_status;
+mod snapshot_part;
+mod stored_answer;
 
 pub use datagram::MAX_PEER_DATAGRAM_BYTES;
 pub use datagram_error::DatagramError;
--- a/crates/zinniadrift-runtime/src/balancer/daemon.rs
+++ b/crates/zinniadrift-runtime/src/balancer/daemon.rs
@@ -1,27 +1,29 @@
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
 
 use bytes::Bytes;
-use serde_json::json;
 use snafu::ResultExt;
-use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use zinniadrift_core::balancer::{Balancer, BalancerEvent, BalancerSettings, Verdict};
-use zinniadrift_core::flow::FlowPacket;
-use zinniadrift_core::ids::{MemberId, PacketToken, TargetId};
+use zinniadrift_core::ids::MemberId;
 use zinniadrift_core::settings::ServiceCatalog;
-use zinniadrift_core::units::MonoTime;
-use zinniadrift_platform::{HttpStore, ObjectStore, Precondition};
+use zinniadrift_core::units::Version;
+use zinniadrift_platform::HttpStore;
 
-use crate::daemon::{DaemonError, DaemonSettings, shutdown_signal, watch_settings};
-use crate::geneve::{Frame, MAX_DATAGRAM_BYTES};
+use super::driver::{Driver, Inputs};
+use crate::daemon::{BindSnafu, DaemonError, DaemonSettings, Role, RunClock};
+use crate::distribution::{DistributionParts, run_distribution};
+use crate::peer::{PeerLink, PeerService, serve_peers};
+use crate::status::{DaemonStatus, watch_statuses};
+use crate::targets::poll_targets;
+use crate::timeline::{Clock, Recorder};
 
-const SETTINGS_QUEUE: usize = 4;
+const SMALL_QUEUE: usize = 16;
+/// Reports of all targets of a user fit, so that a poll never waits for the driver.
+const REPORT_QUEUE: usize = 256;
 
 /// Forwards packets until the process is asked to stop.
 ///
@@ -29,127 +31,101 @@
 ///
 /// Fails if a socket cannot be opened.
 pub async fn run_balancer(cfg: DaemonSettings) -> Result<(), DaemonError> {
-    let socket = UdpSocket::bind(cfg.listen)
-        .await
-        .context(crate::daemon::BindSnafu {
-            address: cfg.listen.to_string(),
-        })?;
+    let clock = RunClock::start();
+    let packets = bind_udp(cfg.listen).await?;
+    let peers = bind_udp(cfg.peer).await?;
+    let calls = TcpListener::bind(cfg.peer).await.context(BindSnafu {
+        address: cfg.peer.to_string(),
+    })?;
     let stop = CancellationToken::new();
     let tasks = TaskTracker::new();
-    let (tx, mut rx) = mpsc::channel(SETTINGS_QUEUE);
+    let member = MemberId::from_name(&cfg.name);
+    let hybrid = Arc::new(Clock::new(member.get(), clock.incarnation().into()));
+    // The recorder stops last, so that the time line shows how the daemon ended.
+    let stop_recorder = CancellationToken::new();
+    let recorder = Recorder::start(
+        hybrid.clone(),
+        &cfg.name,
+        &cfg.zone,
+        clock.incarnation().into(),
+        cfg.timeline,
+        &tasks,
+        stop_recorder.clone(),
+    );
+    let relay = match cfg.listen {
+        SocketAddr::V4(address) => Some(address),
+        SocketAddr::V6(_) => None,
+    };
+    let link = PeerLink::new(peers, &cfg.user, member, clock.incarnation(), relay, hybrid);
+
+    let (distribution, distribution_rx) = mpsc::channel(SMALL_QUEUE);
+    let (outputs_tx, outputs) = mpsc::channel(SMALL_QUEUE);
+    let (statuses_tx, statuses) = mpsc::channel(SMALL_QUEUE);
+    let (reports_tx, reports) = mpsc::channel(REPORT_QUEUE);
+    let (document, document_rx) = watch::channel((Version::default(), Bytes::new()));
+    let (catalog, catalog_rx) = watch::channel(Arc::<ServiceCatalog>::default());
+    let (status, status_rx) = watch::channel(first_status(&cfg, clock));
     let store = HttpStore::new(cfg.platform);
-    tasks.spawn(watch_settings(
-        store.clone(),
+    tasks.spawn(run_distribution(
+        DistributionParts {
+            cfg: cfg.clone(),
+            clock,
+            store: store.clone(),
+            rx: distribution_rx,
+            tx: outputs_tx,
+            document,
+            status: status_rx,
+        },
+        stop.clone(),
+    ));
+    tasks.spawn(watch_statuses(
+        store,
         cfg.user.clone(),
-        tx,
+        statuses_tx,
         stop.clone(),
     ));
+    tasks.spawn(poll_targets(catalog_rx, reports_tx, stop.clone()));
+    let service = PeerService {
+        group: cfg.user.clone(),
+        document: document_rx,
+        claims: None,
+    };
+    tasks.spawn(serve_peers(calls, service, stop.clone()));
     tasks.close();
 
-    let mut driver = Driver::new(&cfg, socket);
-    let mut buf = vec![0; MAX_DATAGRAM_BYTES];
     tracing::info!(name = %cfg.name, listen = %cfg.listen, "balancer started");
-    let stopped = shutdown_signal();
-    tokio::pin!(stopped);
-    loop {
-        tokio::select! {
-            () = &mut stopped => break,
-            Some(catalog) = rx.recv() => {
-                driver.install(catalog);
-                driver.report_status(&store, &cfg).await;
-            }
-            Ok((len, _)) = driver.socket.recv_from(&mut buf) => {
-                driver.forward(Bytes::copy_from_slice(&buf[..len])).await;
-            }
-        }
-    }
+    recorder.record("start", format!("run {}", clock.incarnation()));
+    let inputs = Inputs {
+        outputs,
+        statuses,
+        reports,
+    };
+    let mut driver = Driver::new(&cfg, clock, packets, link, recorder.clone());
+    driver.connect(distribution, catalog, status);
+    driver.run(inputs).await;
+    recorder.record("stop", "stopped");
     stop.cancel();
+    stop_recorder.cancel();
+    drop(driver);
     tasks.wait().await;
     tracing::info!(name = %cfg.name, "balancer stopped");
     Ok(())
 }
 
-struct Driver {
-    core: Balancer,
-    socket: UdpSocket,
-    origin: Instant,
-    addresses: HashMap<TargetId, SocketAddr>,
-    malformed: u64,
-    dropped: u64,
+async fn bind_udp(address: SocketAddr) -> Result<UdpSocket, DaemonError> {
+    UdpSocket::bind(address).await.context(BindSnafu {
+        address: address.to_string(),
+    })
 }
 
-impl Driver {
-    fn new(cfg: &DaemonSettings, socket: UdpSocket) -> Self {
-        let core = Balancer::new(BalancerSettings {
-            member: MemberId::from_name(&cfg.name),
-            name: cfg.name.clone(),
-            zone: cfg.zone.clone(),
-            ..BalancerSettings::default()
-        });
-        let origin = Instant::now();
-        Self {
-            core,
-            socket,
-            origin,
-            addresses: HashMap::new(),
-            malformed: 0,
-            dropped: 0,
-        }
-    }
-
-    fn now(&self) -> MonoTime {
-        MonoTime::default() + self.origin.elapsed()
-    }
-
-    fn install(&mut self, catalog: Arc<ServiceCatalog>) {
-        let now = self.now();
-        let targets = catalog.services.iter().flat_map(|s| &s.targets);
-        self.addresses = targets.map(|t| (t.id, t.address)).collect();
-        self.core
-            .handle(now, BalancerEvent::Settings(catalog), &mut Vec::new());
-        tracing::info!(version = %self.core.version(), "settings in force");
-    }
-
-    async fn forward(&mut self, datagram: Bytes) {
-        let Ok(frame) = Frame::decode(&datagram) else {
-            self.malformed += 1;
-            return;
-        };
-        let pkt = FlowPacket {
-            flow: frame.flow,
-            kind: frame.kind,
-            relayed: frame.relayed,
-            token: PacketToken::default(),
-        };
-        let verdict = self.core.on_packet(self.now(), &pkt, &mut Vec::new());
-        let address = match verdict {
-            Verdict::Forward(target) => self.addresses.get(&target).copied(),
-            _ => None,
-        };
-        let Some(address) = address else {
-            self.dropped += 1;
-            return;
-        };
-        if self
-            .socket
-            .send_to(&Frame::encode(&frame.packet, false), address)
-            .await
-            .is_err()
-        {
-            self.dropped += 1;
-        }
-    }
-
-    async fn report_status(&self, store: &HttpStore, cfg: &DaemonSettings) {
-        let value = json!({
-            "name": cfg.name,
-            "zone": cfg.zone,
-            "role": "balancer",
-            "version": self.core.version(),
-        });
-        let key = format!("status/{}/{}", cfg.user, cfg.name);
-        if let Err(e) = store.put(&key, value, Precondition::None).await {
-            tracing::debug!(error = %e, "status not written");
-        }
+fn first_status(cfg: &DaemonSettings, clock: RunClock) -> DaemonStatus {
+    DaemonStatus {
+        name: cfg.name.clone(),
+        role: Role::Balancer,
+        zone: cfg.zone.clone(),
+        incarnation: clock.incarnation(),
+        address: cfg.peer,
+        state: "starting".into(),
+        version: Version::default(),
     }
 }
--- /dev/null
+++ b/crates/zinniadrift-runtime/src/balancer/packet_counters.rs
@@ -0,0 +1,12 @@
+/// Counts what the driver did with packets besides what the core counts.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PacketCounters {
+    /// Datagrams that are no complete Geneve frame with a TCP packet.
+    pub malformed: u64,
+    /// Packets whose target or peer has no known address.
+    pub no_address: u64,
+    /// Packets that the socket did not take.
+    pub send_failed: u64,
+    /// Held packets dropped because the driver's buffer was full.
+    pub hold_full: u64,
+}
--- a/crates/zinniadrift-runtime/src/daemon/daemon_settings.rs
+++ b/crates/zinniadrift-runtime/src/daemon/daemon_settings.rs
@@ -6,8 +6,8 @@
 
 use zinniadrift_core::ids::ZoneName;
 
-use super::DaemonError;
 use super::daemon_error::{InvalidSettingsSnafu, ReadSettingsSnafu};
+use super::{DaemonError, Seed};
 
 /// Holds the settings file of one daemon.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -25,15 +25,21 @@
     pub peer: SocketAddr,
     /// The address of the platform's object API.
     pub platform: SocketAddr,
-    /// The peer addresses to contact when the platform is down.
+    /// The daemons to contact when the platform is down.
     #[serde(default)]
-    pub seeds: Vec<SocketAddr>,
+    pub seeds: Vec<Seed>,
     /// The address to which metrics are sent (statsd over UDP).
     #[serde(default)]
     pub statsd: Option<SocketAddr>,
     /// The address of the time line collector.
     #[serde(default)]
     pub timeline: Option<SocketAddr>,
+    /// The time in milliseconds without a packet after which a leaving balancer exits.
+    #[serde(default)]
+    pub drain_quiet_ms: Option<u64>,
+    /// The longest time in milliseconds for which a leaving daemon finishes its work.
+    #[serde(default)]
+    pub drain_deadline_ms: Option<u64>,
 }
 
 impl DaemonSettings {
--- a/crates/zinniadrift-runtime/src/daemon/mod.rs
+++ b/crates/zinniadrift-runtime/src/daemon/mod.rs
@@ -1,10 +1,12 @@
-//! Holds what all daemons share: settings file, command line, logs and the settings watch.
+//! Holds what all daemons share: settings file, command line, logs, clock and signals.
 
 mod command_line;
 mod daemon_error;
 mod daemon_settings;
 mod logging;
-mod settings_watch;
+mod role;
+mod run_clock;
+mod seed;
 mod shutdown;
 
 pub use command_line::{CommandLine, Mode, run};
@@ -12,5 +14,7 @@
 pub use daemon_error::DaemonError;
 pub use daemon_settings::DaemonSettings;
 pub use logging::init_logs;
-pub use settings_watch::watch_settings;
+pub use role::Role;
+pub use run_clock::RunClock;
+pub use seed::Seed;
 pub use shutdown::shutdown_signal;
--- /dev/null
+++ b/crates/zinniadrift-runtime/src/daemon/seed.rs
@@ -0,0 +1,38 @@
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use zinniadrift_core::ids::{MemberId, ZoneName};
+use zinniadrift_core::membership::Host;
+
+use super::Role;
+
+/// Names a daemon of the user's group that a newcomer contacts when the platform is down.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Seed {
+    /// The daemon's name.
+    pub name: Box<str>,
+    /// What the daemon does.
+    pub role: Role,
+    /// The availability zone that the daemon is in.
+    pub zone: ZoneName,
+    /// The address for messages of the user's other daemons.
+    pub address: SocketAddr,
+}
+
+impl Seed {
+    /// Returns the daemon's id.
+    pub fn member(&self) -> MemberId {
+        MemberId::from_name(&self.name)
+    }
+
+    /// Returns the seed as a host of the membership.
+    pub fn host(&self) -> Host {
+        Host {
+            name: self.name.clone(),
+            zone: self.zone.clone(),
+            address: self.address,
+        }
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-runtime/src/distribution/mod.rs
@@ -0,0 +1,9 @@
+//! Runs the settings distribution's state machine against the platform and peers.
+
+mod driver;
+mod input;
+mod output;
+
+pub(crate) use driver::{DistributionParts, run_distribution};
+pub(crate) use input::{DistributionInput, MemberAddress};
+pub(crate) use output::DistributionOutput;
--- /dev/null
+++ b/crates/zinniadrift-runtime/src/gateway/attempt.rs
@@ -0,0 +1,173 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::header::{CONTENT_LENGTH, RETRY_AFTER, TRANSFER_ENCODING};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use tokio::time::timeout;
+
+use zinniadrift_core::gateway::{AttemptId, AttemptResult};
+
+use super::headers::{ATTEMPT, DEADLINE, REFUSED, REFUSED_BUSY, end_to_end};
+
+/// A target in the same region accepts within milliseconds; a longer wait only delays the retry.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Shorter than the idle limits common on servers, so that a connection is rarely closed under a
+/// request that was just sent.
+const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// The longest response that is delivered.
+const MAX_RESPONSE_BYTES: usize = 16 << 20;
+
+pub(super) type TargetClient = Client<HttpConnector, Full<Bytes>>;
+
+/// Is one attempt to run a request on a target.
+#[derive(Debug)]
+pub(super) struct Attempt {
+    pub(super) id: AttemptId,
+    pub(super) target: SocketAddr,
+    pub(super) method: Method,
+    pub(super) rest: Box<str>,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+    pub(super) remaining: Duration,
+    pub(super) progress_timeout: Duration,
+}
+
+/// Is the end of an attempt.
+#[derive(Debug)]
+pub(super) struct Finished {
+    pub(super) attempt: AttemptId,
+    pub(super) result: AttemptResult,
+    pub(super) headers: HeaderMap,
+}
+
+/// Returns a client that opens HTTP/1.1 connections, so that each carries one request at a time and
+/// ending an exchange closes its connection.
+pub(super) fn target_client() -> TargetClient {
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    connector.set_nodelay(true);
+    Client::builder(TokioExecutor::new())
+        .pool_idle_timeout(POOL_IDLE_TIMEOUT)
+        .build(connector)
+}
+
+impl Attempt {
+    /// Runs the attempt; dropping the future closes the connection, which cancels the work.
+    pub(super) async fn run(self, client: TargetClient) -> Finished {
+        let attempt = self.id;
+        let (result, headers) = match self.exchange(&client).await {
+            Ok((result, headers)) => (result, headers),
+            Err(result) => (result, HeaderMap::new()),
+        };
+        Finished {
+            attempt,
+            result,
+            headers,
+        }
+    }
+
+    async fn exchange(
+        self,
+        client: &TargetClient,
+    ) -> Result<(AttemptResult, HeaderMap), AttemptResult> {
+        let progress = self.progress_timeout;
+        let is_head = self.method == Method::HEAD;
+        // A request that cannot be expressed is never sent.
+        let req = self.request().ok_or(AttemptResult::RefusedBeforeStart)?;
+        let resp = match timeout(progress, client.request(req)).await {
+            Err(_) => return Err(AttemptResult::NoProgress),
+            Ok(Err(e)) if e.is_connect() => return Err(AttemptResult::ConnectFailed),
+            Ok(Err(_)) => return Err(AttemptResult::ConnectionLost),
+            Ok(Ok(resp)) => resp,
+        };
+        if let Some(refusal) = refusal_of(&resp) {
+            return Err(refusal);
+        }
+        let is_framed = is_head || has_framing(&resp);
+        let status = resp.status().as_u16();
+        let echo = resp.headers().get(ATTEMPT).and_then(number);
+        let (parts, body) = resp.into_parts();
+        let body = read_body(body, progress).await?;
+        if !is_framed {
+            return Err(AttemptResult::Truncated);
+        }
+        let result = AttemptResult::Whole {
+            status,
+            body,
+            echo: echo.map(AttemptId::from),
+        };
+        Ok((result, end_to_end(parts.headers)))
+    }
+
+    fn request(self) -> Option<Request<Full<Bytes>>> {
+        let rest = if self.rest.starts_with('/') {
+            self.rest
+        } else {
+            format!("/{}", self.rest).into()
+        };
+        let uri: Uri = format!("http://{}{rest}", self.target).parse().ok()?;
+        let mut req = Request::new(Full::new(self.body));
+        *req.method_mut() = self.method;
+        *req.uri_mut() = uri;
+        *req.headers_mut() = self.headers;
+        let millis = u64::try_from(self.remaining.as_millis()).unwrap_or(u64::MAX);
+        let headers = req.headers_mut();
+        headers.insert(DEADLINE, HeaderValue::from(millis));
+        headers.insert(ATTEMPT, HeaderValue::from(self.id.get()));
+        Some(req)
+    }
+}
+
+/// Returns the refusal if the target says that it did not start the work.
+fn refusal_of(resp: &Response<Incoming>) -> Option<AttemptResult> {
+    let reason = resp.headers().get(REFUSED)?;
+    if resp.status() != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    if reason != REFUSED_BUSY {
+        return Some(AttemptResult::RefusedBeforeStart);
+    }
+    let seconds = resp.headers().get(RETRY_AFTER).and_then(number);
+    Some(AttemptResult::Shed {
+        retry_after: seconds.map(Duration::from_secs),
+    })
+}
+
+/// Tells whether the end of the response can be told from the end of the connection.
+fn has_framing(resp: &Response<Incoming>) -> bool {
+    let headers = resp.headers();
+    let is_empty = matches!(
+        resp.status(),
+        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+    );
+    is_empty || headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
+async fn read_body(mut body: Incoming, progress: Duration) -> Result<Bytes, AttemptResult> {
+    let mut buf = BytesMut::new();
+    loop {
+        match timeout(progress, body.frame()).await {
+            Err(_) => return Err(AttemptResult::NoProgress),
+            Ok(None) => return Ok(buf.freeze()),
+            Ok(Some(Err(_))) => return Err(AttemptResult::Truncated),
+            Ok(Some(Ok(frame))) => {
+                if let Some(data) = frame.data_ref() {
+                    buf.extend_from_slice(data);
+                }
+            }
+        }
+        if buf.len() > MAX_RESPONSE_BYTES {
+            return Err(AttemptResult::Truncated);
+        }
+    }
+}
+
+fn number(value: &HeaderValue) -> Option<u64> {
+    value.to_str().ok()?.parse().ok()
+}
--- /dev/null
+++ b/crates/zinniadrift-runtime/src/gateway/claim_calls.rs
@@ -0,0 +1,85 @@
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tonic::transport::{Channel, Endpoint};
+
+use zinniadrift_core::claim::{BatchId, ClaimOp, ClaimVerdict, ShardId};
+use zinniadrift_core::gateway::GatewayEvent;
+use zinniadrift_core::ids::MemberId;
+use zinniadrift_proto::v1::ClaimBatchRequest;
+use zinniadrift_proto::v1::peer_client::PeerClient;
+
+/// The core stops waiting earlier; the limit only frees the call.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Sends batches of claims to the gateways that write their shards.
+#[derive(Debug)]
+pub(super) struct ClaimCalls {
+    group: Box<str>,
+    member: MemberId,
+    clients: HashMap<SocketAddr, PeerClient<Channel>>,
+}
+
+impl ClaimCalls {
+    /// Returns a sender without connections.
+    pub(super) fn new(group: &str, member: MemberId) -> Self {
+        Self {
+            group: group.into(),
+            member,
+            clients: HashMap::new(),
+        }
+    }
+
+    /// Forgets connections to gateways that are gone.
+    pub(super) fn retain(&mut self, live: &[SocketAddr]) {
+        self.clients.retain(|address, _| live.contains(address));
+    }
+
+    /// Returns the call of one batch.
+    pub(super) fn call(
+        &mut self,
+        to: Option<SocketAddr>,
+        batch: BatchId,
+        shard: ShardId,
+        claims: Vec<ClaimOp>,
+    ) -> impl Future<Output = GatewayEvent> + Send + 'static {
+        let client = to.and_then(|address| self.client(address));
+        let request = ClaimBatchRequest {
+            group: self.group.to_string(),
+            sender: self.member.get(),
+            batch: batch.into(),
+            shard: shard.get(),
+            claims: claims.into_iter().map(Into::into).collect(),
+        };
+        async move {
+            let verdicts = match client {
+                Some(client) => send(client, request).await,
+                None => None,
+            };
+            GatewayEvent::ClaimsAnswered { batch, verdicts }
+        }
+    }
+
+    fn client(&mut self, address: SocketAddr) -> Option<PeerClient<Channel>> {
+        if let Some(client) = self.clients.get(&address) {
+            return Some(client.clone());
+        }
+        let endpoint = Endpoint::from_shared(format!("http://{address}")).ok()?;
+        let endpoint = endpoint.connect_timeout(CALL_TIMEOUT).timeout(CALL_TIMEOUT);
+        let client = PeerClient::new(endpoint.connect_lazy());
+        self.clients.insert(address, client.clone());
+        Some(client)
+    }
+}
+
+async fn send(
+    mut client: PeerClient<Channel>,
+    request: ClaimBatchRequest,
+) -> Option<Vec<ClaimVerdict>> {
+    let asked = request.claims.len();
+    let answer = client.claim_batch(request).await.ok()?.into_inner();
+    let verdicts: Result<Vec<ClaimVerdict>, _> =
+        answer.verdicts.into_iter().map(TryInto::try_into).collect();
+    verdicts.ok().filter(|v| v.len() == asked)
+}
--- a/crates/zinniadrift-runtime/src/gateway/daemon.rs
+++ b/crates/zinniadrift-runtime/src/gateway/daemon.rs
@@ -1,162 +1,164 @@
-use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use axum::Router;
-use axum::body::Body;
-use axum::extract::{Request, State};
-use axum::response::{IntoResponse, Response};
 use bytes::Bytes;
-use http::{StatusCode, Uri, header};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
-use parking_lot::RwLock;
 use snafu::ResultExt;
-use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use zinniadrift_core::error::{ErrorKind, RetryAdvice};
-use zinniadrift_core::settings::{Service, ServiceCatalog};
+use zinniadrift_core::ids::MemberId;
+use zinniadrift_core::settings::ServiceCatalog;
+use zinniadrift_core::units::Version;
 use zinniadrift_platform::HttpStore;
 
-use crate::daemon::{BindSnafu, DaemonError, DaemonSettings, shutdown_signal, watch_settings};
+use super::driver::{Driver, Inputs, Outlets};
+use super::front::{Front, serve};
+use crate::daemon::{BindSnafu, DaemonError, DaemonSettings, Role, RunClock};
+use crate::distribution::{DistributionParts, run_distribution};
+use crate::peer::{PeerLink, PeerService, serve_peers};
+use crate::status::{DaemonStatus, watch_statuses};
+use crate::targets::poll_targets;
+use crate::timeline::{Clock, Recorder};
 
-const SETTINGS_QUEUE: usize = 4;
-const OUTCOME_HEADER: &str = "x-zinniadrift-outcome";
+const SMALL_QUEUE: usize = 16;
+/// Requests that wait for the driver's next turn.
+const CALL_QUEUE: usize = 1_024;
+const CLAIM_QUEUE: usize = 256;
+const REPORT_QUEUE: usize = 256;
+/// The time for which answers may still be written to slow callers after the last one is known.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Serves requests until the process is asked to stop.
 ///
 /// # Errors
 ///
-/// Fails if the listening socket cannot be opened.
+/// Fails if a socket cannot be opened.
 pub async fn run_gateway(cfg: DaemonSettings) -> Result<(), DaemonError> {
-    let listener = TcpListener::bind(cfg.listen).await.context(BindSnafu {
-        address: cfg.listen.to_string(),
+    let clock = RunClock::start();
+    let listener = bind(cfg.listen).await?;
+    let peer_listener = bind(cfg.peer).await?;
+    let peers = UdpSocket::bind(cfg.peer).await.context(BindSnafu {
+        address: cfg.peer.to_string(),
     })?;
     let stop = CancellationToken::new();
     let tasks = TaskTracker::new();
-    let (tx, mut rx) = mpsc::channel(SETTINGS_QUEUE);
-    tasks.spawn(watch_settings(
-        HttpStore::new(cfg.platform),
+    let member = MemberId::from_name(&cfg.name);
+    let hybrid = Arc::new(Clock::new(member.get(), clock.incarnation().into()));
+    // The recorder stops last, so that the time line shows how the daemon ended.
+    let stop_recorder = CancellationToken::new();
+    let recorder = Recorder::start(
+        hybrid.clone(),
+        &cfg.name,
+        &cfg.zone,
+        clock.incarnation().into(),
+        cfg.timeline,
+        &tasks,
+        stop_recorder.clone(),
+    );
+    let link = PeerLink::new(peers, &cfg.user, member, clock.incarnation(), None, hybrid);
+
+    let (distribution, distribution_rx) = mpsc::channel(SMALL_QUEUE);
+    let (outputs_tx, outputs) = mpsc::channel(SMALL_QUEUE);
+    let (statuses_tx, statuses) = mpsc::channel(SMALL_QUEUE);
+    let (reports_tx, reports) = mpsc::channel(REPORT_QUEUE);
+    let (calls_tx, calls) = mpsc::channel(CALL_QUEUE);
+    let (claims_tx, claims) = mpsc::channel(CLAIM_QUEUE);
+    let (cancels_tx, cancels) = mpsc::unbounded_channel();
+    let (document, document_rx) = watch::channel((Version::default(), Bytes::new()));
+    let (catalog, catalog_rx) = watch::channel(Arc::<ServiceCatalog>::default());
+    let (status, status_rx) = watch::channel(first_status(&cfg, clock));
+    let store = HttpStore::new(cfg.platform);
+    tasks.spawn(run_distribution(
+        DistributionParts {
+            cfg: cfg.clone(),
+            clock,
+            store: store.clone(),
+            rx: distribution_rx,
+            tx: outputs_tx,
+            document,
+            status: status_rx,
+        },
+        stop.clone(),
+    ));
+    tasks.spawn(watch_statuses(
+        store.clone(),
         cfg.user.clone(),
-        tx,
+        statuses_tx,
         stop.clone(),
     ));
-    let shared = Arc::new(Shared::default());
-    let receiver = shared.clone();
-    tasks.spawn(async move {
-        while let Some(catalog) = rx.recv().await {
-            if catalog.version > receiver.catalog.read().version {
-                *receiver.catalog.write() = catalog;
-            }
-        }
-    });
+    tasks.spawn(poll_targets(catalog_rx.clone(), reports_tx, stop.clone()));
+    let service = PeerService {
+        group: cfg.user.clone(),
+        document: document_rx,
+        claims: Some(claims_tx),
+    };
+    tasks.spawn(serve_peers(peer_listener, service, stop.clone()));
+    let front = Arc::new(Front::new(clock, catalog_rx, calls_tx, cancels_tx));
+    tasks.spawn(serve_callers(listener, front, stop.clone()));
     tasks.close();
+
     tracing::info!(name = %cfg.name, listen = %cfg.listen, "gateway started");
-    let app = Router::new().fallback(serve).with_state(shared);
-    let served = axum::serve(listener, app)
-        .with_graceful_shutdown(shutdown_signal())
-        .await;
+    recorder.record("start", format!("run {}", clock.incarnation()));
+    let name = cfg.name.clone();
+    let outlets = Outlets {
+        distribution,
+        catalog,
+        status,
+    };
+    let inputs = Inputs {
+        calls,
+        cancels,
+        claims,
+        outputs,
+        statuses,
+        reports,
+    };
+    let mut driver = Driver::new(cfg, clock, store, link, recorder.clone(), outlets);
+    driver.run(inputs).await;
+    recorder.record("stop", "stopped");
     stop.cancel();
+    stop_recorder.cancel();
+    drop(driver);
     tasks.wait().await;
-    tracing::info!(name = %cfg.name, "gateway stopped");
-    served.context(BindSnafu {
-        address: cfg.listen.to_string(),
-    })
-}
-
-struct Shared {
-    catalog: RwLock<Arc<ServiceCatalog>>,
-    client: Client<HttpConnector, Full<Bytes>>,
-    next: AtomicUsize,
+    tracing::info!(%name, "gateway stopped");
+    Ok(())
 }
 
-impl Default for Shared {
-    fn default() -> Self {
-        Self {
-            catalog: RwLock::default(),
-            client: Client::builder(TokioExecutor::new()).build_http(),
-            next: AtomicUsize::new(0),
-        }
-    }
-}
-
-async fn serve(State(shared): State<Arc<Shared>>, req: Request) -> Response {
-    let catalog = shared.catalog.read().clone();
-    let Some((service, rest)) = find_service(&catalog, req.uri().path()) else {
-        return refuse(ErrorKind::NotFound);
-    };
-    let rest: Box<str> = rest.into();
-    let active: Vec<SocketAddr> = service
-        .targets
-        .iter()
-        .filter(|t| t.is_active())
-        .map(|t| t.address)
-        .collect();
-    if active.is_empty() {
-        return refuse(ErrorKind::NoTarget);
-    }
-    let max_body = service.policies.requests.max_body_bytes;
-    let (parts, body) = req.into_parts();
-    let Ok(body) = Limited::new(body, max_body).collect().await else {
-        return refuse(ErrorKind::InvalidInput);
+/// Serves callers until `stop` is cancelled and answers in progress are written.
+async fn serve_callers(listener: TcpListener, front: Arc<Front>, stop: CancellationToken) {
+    let app = Router::new().fallback(serve).with_state(front);
+    let server = axum::serve(listener, app).with_graceful_shutdown(stop.clone().cancelled_owned());
+    let limit = async {
+        stop.cancelled().await;
+        tokio::time::sleep(CLOSE_TIMEOUT).await;
     };
-    let target = active[shared.next.fetch_add(1, Ordering::Relaxed) % active.len()];
-    let Ok(uri) = format!("http://{target}{rest}").parse::<Uri>() else {
-        return refuse(ErrorKind::InvalidInput);
-    };
-    let mut out = http::Request::new(Full::new(body.to_bytes()));
-    *out.method_mut() = parts.method;
-    *out.uri_mut() = uri;
-    match exchange(&shared, out).await {
-        Ok((status, body)) => {
-            (status, [(OUTCOME_HEADER, "done")], Body::from(body)).into_response()
+    tokio::select! {
+        served = server.into_future() => {
+            if let Err(e) = served {
+                tracing::error!(error = %e, "caller service failed");
+            }
         }
-        Err(kind) => refuse(kind),
+        () = limit => tracing::debug!("callers did not close their connections in time"),
     }
 }
 
-async fn exchange(
-    shared: &Shared,
-    req: http::Request<Full<Bytes>>,
-) -> Result<(StatusCode, Bytes), ErrorKind> {
-    let sent = shared.client.request(req).await;
-    let resp = sent.map_err(|e| {
-        if e.is_connect() {
-            ErrorKind::NoTarget
-        } else {
-            ErrorKind::OutcomeUnknown
-        }
-    })?;
-    let status = resp.status();
-    let body = resp
-        .into_body()
-        .collect()
-        .await
-        .map_err(|_| ErrorKind::OutcomeUnknown)?;
-    Ok((status, body.to_bytes()))
-}
-
-fn find_service<'a>(catalog: &'a ServiceCatalog, path: &'a str) -> Option<(&'a Service, &'a str)> {
-    let path = path.strip_prefix("/services/")?;
-    catalog.services.iter().find_map(|s| {
-        let rest = path.strip_prefix(&*s.path)?;
-        (rest.is_empty() || rest.starts_with('/')).then_some((s, rest))
+async fn bind(address: std::net::SocketAddr) -> Result<TcpListener, DaemonError> {
+    TcpListener::bind(address).await.context(BindSnafu {
+        address: address.to_string(),
     })
 }
 
-fn refuse(kind: ErrorKind) -> Response {
-    let answer = kind.answer();
-    let status = StatusCode::from_u16(answer.http_status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let outcome = if answer.not_run { "not run" } else { "unknown" };
-    let mut resp = (status, [(OUTCOME_HEADER, outcome)], kind.to_string()).into_response();
-    if let RetryAdvice::AfterMillis(ms) = answer.retry {
-        resp.headers_mut()
-            .insert(header::RETRY_AFTER, ms.div_ceil(1_000).into());
+fn first_status(cfg: &DaemonSettings, clock: RunClock) -> DaemonStatus {
+    DaemonStatus {
+        name: cfg.name.clone(),
+        role: Role::Gateway,
+        zone: cfg.zone.clone(),
+        incarnation: clock.incarnation(),
+        address: cfg.peer,
+        state: "starting".into(),
+        version: Version::default(),
     }
-    resp
 }
--- a/crates/zinniadrift-runtime/src/gateway/mod.rs
+++ b/crates/zinniadrift-runtime/src/gateway/mod.rs
@@ -1,5 +1,15 @@
 //! Serves requests over HTTP.
 
+mod answer;
+mod attempt;
+mod attempts;
+mod claim_calls;
 mod daemon;
+mod driver;
+mod front;
+mod group;
+mod headers;
+mod pending;
+mod store_calls;
 
 pub use daemon::run_gateway;
--- /dev/null
+++ b/crates/zinniadrift-runtime/src/gateway/store_calls.rs
@@ -0,0 +1,54 @@
+use zinniadrift_core::claim::{ClaimShard, ReadResult, ShardId, StoreOp, WriteResult};
+use zinniadrift_core::gateway::GatewayEvent;
+use zinniadrift_platform::{HttpStore, ObjectStore, Precondition, StoreError};
+
+/// Reads a claim shard.
+pub(super) async fn read_shard(
+    store: HttpStore,
+    user: Box<str>,
+    op: StoreOp,
+    shard: ShardId,
+) -> GatewayEvent {
+    let result = match store.get(&key_of(&user, shard)).await {
+        Ok(Some(object)) => match serde_json::from_value::<ClaimShard>(object.value) {
+            Ok(value) => ReadResult::Found {
+                revision: object.revision,
+                value: Box::new(value),
+            },
+            Err(e) => {
+                // A shard that cannot be read must not be overwritten: its claims would be lost.
+                tracing::error!(%shard, error = %e, "claim shard is malformed");
+                ReadResult::Unavailable
+            }
+        },
+        Ok(None) => ReadResult::Absent,
+        Err(_) => ReadResult::Unavailable,
+    };
+    GatewayEvent::ShardRead { op, shard, result }
+}
+
+/// Writes a claim shard conditionally.
+pub(super) async fn write_shard(
+    store: HttpStore,
+    user: Box<str>,
+    op: StoreOp,
+    shard: ShardId,
+    expected: Option<u64>,
+    value: Box<ClaimShard>,
+) -> GatewayEvent {
+    let pre = expected.map_or(Precondition::Absent, Precondition::Revision);
+    let result = match serde_json::to_value(&*value) {
+        Ok(value) => store.put(&key_of(&user, shard), value, pre).await,
+        Err(_) => Err(StoreError::Refused { status: 0 }),
+    };
+    let result = match result {
+        Ok(revision) => WriteResult::Written { revision },
+        Err(StoreError::Conflict { .. }) => WriteResult::Conflict,
+        Err(_) => WriteResult::Unavailable,
+    };
+    GatewayEvent::ShardWritten { op, shard, result }
+}
+
+fn key_of(user: &str, shard: ShardId) -> String {
+    format!("claims/{user}/{}", shard.get())
+}
--- a/crates/zinniadrift-runtime/src/lib.rs
+++ b/crates/zinniadrift-runtime/src/lib.rs
@@ -2,6 +2,11 @@
 
 pub mod balancer;
 pub mod daemon;
+mod distribution;
 pub mod gateway;
 pub mod geneve;
+pub mod metrics;
+pub mod peer;
+pub mod status;
+mod targets;
 pub mod timeline;
--- /dev/null
+++ b/crates/zinniadrift-runtime/src/metrics/metric.rs
@@ -0,0 +1,72 @@
+use derive_more::Display;
+
+use super::balancer_metrics::{BALANCER_GAUGES, CORE_COUNTERS, PACKET_COUNTERS};
+use super::gateway_metrics::{GATEWAY_COUNTERS, GATEWAY_GAUGES};
+use super::reporter::{PEER_COUNTERS, TIMELINE_DROPPED};
+
+/// Starts every name; the daemon's role and name follow.
+pub const METRIC_PREFIX: &str = "zinniadrift";
+
+/// Describes one metric.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Metric {
+    /// The name after prefix, role and daemon name.
+    pub name: &'static str,
+    /// Whether it counts events or tells a current value.
+    pub kind: MetricKind,
+    /// The unit.
+    pub unit: &'static str,
+    /// The meaning.
+    pub meaning: &'static str,
+}
+
+/// Tells how a metric's values add up.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[display(rename_all = "lowercase")]
+pub enum MetricKind {
+    /// Counts events since the last report.
+    Counter,
+    /// Tells the current value.
+    Gauge,
+}
+
+impl Metric {
+    pub(super) const fn counter(
+        name: &'static str,
+        unit: &'static str,
+        meaning: &'static str,
+    ) -> Self {
+        Self {
+            name,
+            kind: MetricKind::Counter,
+            unit,
+            meaning,
+        }
+    }
+
+    pub(super) const fn gauge(
+        name: &'static str,
+        unit: &'static str,
+        meaning: &'static str,
+    ) -> Self {
+        Self {
+            name,
+            kind: MetricKind::Gauge,
+            unit,
+            meaning,
+        }
+    }
+}
+
+/// Returns every metric that a daemon may send.
+pub fn all_metrics() -> Vec<Metric> {
+    let mut all: Vec<Metric> = Vec::new();
+    all.extend(CORE_COUNTERS.iter().map(|(m, _)| *m));
+    all.extend(PACKET_COUNTERS.iter().map(|(m, _)| *m));
+    all.extend(BALANCER_GAUGES.iter().map(|(m, _)| *m));
+    all.extend(GATEWAY_COUNTERS.iter().map(|(m, _)| *m));
+    all.extend(GATEWAY_GAUGES.iter().map(|(m, _)| *m));
+    all.extend(PEER_COUNTERS.iter().map(|(m, _)| *m));
+    all.push(TIMELINE_DROPPED);
+    all
+}
--- /dev/null
+++ b/crates/zinniadrift-runtime/src/metrics/mod.rs
@@ -0,0 +1,13 @@
+//! Sends counters and gauges to a statsd server.
+
+mod balancer_metrics;
+mod gateway_counters;
+mod gateway_metrics;
+mod metric;
+mod reporter;
+
+pub(crate) use balancer_metrics::report_balancer;
+pub use gateway_counters::GatewayCounters;
+pub(crate) use gateway_metrics::report_gateway;
+pub use metric::{METRIC_PREFIX, Metric, MetricKind, all_metrics};
+pub(crate) use reporter::{REPORT_INTERVAL, Reporter};
--- /dev/null
+++ b/crates/zinniadrift-runtime/src/peer/service.rs
@@ -0,0 +1,108 @@
+use bytes::Bytes;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio_util::sync::CancellationToken;
+use tonic::transport::Server;
+use tonic::transport::server::TcpIncoming;
+use tonic::{Request, Response, Status};
+
+use zinniadrift_core::claim::{BatchId, ClaimOp, ShardId};
+use zinniadrift_core::ids::MemberId;
+use zinniadrift_core::units::Version;
+use zinniadrift_proto::v1::peer_server::{Peer, PeerServer};
+use zinniadrift_proto::v1::{
+    ClaimBatchRequest, ClaimBatchResponse, PullSettingsRequest, PullSettingsResponse,
+};
+
+use super::ClaimCall;
+
+/// Claims that one batch may carry.
+const MAX_CLAIMS: usize = 1_024;
+
+/// Answers the calls of the user's other daemons.
+#[derive(Debug)]
+pub(crate) struct PeerService {
+    /// The user's group.
+    pub(crate) group: Box<str>,
+    /// The settings document in force.
+    pub(crate) document: watch::Receiver<(Version, Bytes)>,
+    /// Takes batches of claims; `None` on a daemon that writes none.
+    pub(crate) claims: Option<mpsc::Sender<ClaimCall>>,
+}
+
+/// Serves peers until `stop` is cancelled.
+pub(crate) async fn serve_peers(
+    listener: TcpListener,
+    service: PeerService,
+    stop: CancellationToken,
+) {
+    let served = Server::builder()
+        .add_service(PeerServer::new(service))
+        .serve_with_incoming_shutdown(TcpIncoming::from(listener), stop.cancelled_owned())
+        .await;
+    if let Err(e) = served {
+        tracing::error!(error = %e, "peer service failed");
+    }
+}
+
+impl PeerService {
+    fn check_group(&self, group: &str) -> Result<(), Status> {
+        if group == &*self.group {
+            Ok(())
+        } else {
+            Err(Status::permission_denied("call of another group"))
+        }
+    }
+}
+
+#[tonic::async_trait]
+impl Peer for PeerService {
+    async fn pull_settings(
+        &self,
+        req: Request<PullSettingsRequest>,
+    ) -> Result<Response<PullSettingsResponse>, Status> {
+        let req = req.into_inner();
+        self.check_group(&req.group)?;
+        let (version, document) = self.document.borrow().clone();
+        let answer = if version.get() > req.above_version {
+            PullSettingsResponse {
+                version: version.get(),
+                document: document.to_vec(),
+            }
+        } else {
+            PullSettingsResponse::default()
+        };
+        Ok(Response::new(answer))
+    }
+
+    async fn claim_batch(
+        &self,
+        req: Request<ClaimBatchRequest>,
+    ) -> Result<Response<ClaimBatchResponse>, Status> {
+        let req = req.into_inner();
+        self.check_group(&req.group)?;
+        let Some(tx) = &self.claims else {
+            return Err(Status::unimplemented("this daemon writes no claims"));
+        };
+        if req.claims.len() > MAX_CLAIMS {
+            return Err(Status::invalid_argument("too many claims in one batch"));
+        }
+        let claims: Result<Vec<ClaimOp>, _> =
+            req.claims.into_iter().map(TryInto::try_into).collect();
+        let (answer, verdicts) = oneshot::channel();
+        let call = ClaimCall {
+            from: MemberId::from(req.sender),
+            batch: BatchId::from(req.batch),
+            shard: ShardId::from(req.shard),
+            claims: claims.map_err(|e| Status::invalid_argument(e.to_string()))?,
+            answer,
+        };
+        tx.try_send(call)
+            .map_err(|_| Status::resource_exhausted("queue of claims is full"))?;
+        let verdicts = verdicts
+            .await
+            .map_err(|_| Status::unavailable("no verdicts"))?;
+        let verdicts = verdicts.into_iter().map(Into::into).collect();
+        Ok(Response::new(ClaimBatchResponse { verdicts }))
+    }
+}
