--- a/crates/zinniadrift-lab/src/experiments/cost/synthetic_catalog.rs
+++ b/crates/zinniadrift-lab/src/experiments/cost/synthetic_catalog.rs
@@ -37,6 +37,7 @@
                     nodes: nodes.collect(),
                     ..Node::default()
                 },
+                ..Document::default()
             },
             addresses,
         }
--- a/crates/zinniadrift-lab/src/experiments/fleet/user_group.rs
+++ b/crates/zinniadrift-lab/src/experiments/fleet/user_group.rs
@@ -90,6 +90,7 @@
                 nodes: BTreeMap::from([(self.name.into(), user)]),
                 ..Node::default()
             },
+            ..Document::default()
         }
     }
 
--- a/crates/zinniadrift-proto/src/datagram.rs
+++ b/crates/zinniadrift-proto/src/datagram.rs
@@ -92,6 +92,7 @@
                 publication,
                 pins,
                 bases,
+                marks,
             } => Self::SnapshotPart(v1::SnapshotPart {
                 id,
                 index,
@@ -99,6 +100,7 @@
                 publication,
                 groups: group_pins(&pins),
                 bases: bases.into_iter().map(Into::into).collect(),
+                marks: marks.into_iter().map(Into::into).collect(),
             }),
             PeerMessage::Goodbye => Self::Goodbye(v1::Goodbye {}),
         }
--- a/crates/zinniadrift-proto/src/lib.rs
+++ b/crates/zinniadrift-proto/src/lib.rs
@@ -10,6 +10,7 @@
 mod datagram_error;
 mod heartbeat;
 mod pin_group;
+mod publication_mark;
 mod rebase_status;
 mod snapshot_part;
 mod stored_answer;
--- a/crates/zinniadrift-proto/src/rebase_status.rs
+++ b/crates/zinniadrift-proto/src/rebase_status.rs
@@ -8,6 +8,7 @@
     fn from(status: RebaseStatus) -> Self {
         let phase = match status.phase {
             RebasePhase::Publishing => v1::RebasePhase::Publishing,
+            RebasePhase::Merging => v1::RebasePhase::Merging,
             RebasePhase::Collected => v1::RebasePhase::Collected,
             // A settled service is not reported; a peer may take it for defaulted at no harm.
             RebasePhase::Defaulted | RebasePhase::Settled => v1::RebasePhase::Defaulted,
@@ -29,6 +30,7 @@
         let phase = v1::RebasePhase::try_from(status.phase);
         let phase = match phase.map_err(|_| DatagramError::Malformed)? {
             v1::RebasePhase::Publishing => RebasePhase::Publishing,
+            v1::RebasePhase::Merging => RebasePhase::Merging,
             v1::RebasePhase::Collected => RebasePhase::Collected,
             v1::RebasePhase::Defaulted => RebasePhase::Defaulted,
         };
--- a/crates/zinniadrift-proto/src/snapshot_part.rs
+++ b/crates/zinniadrift-proto/src/snapshot_part.rs
@@ -16,6 +16,7 @@
             publication: part.publication,
             pins: ungroup_pins(part.groups)?,
             bases: bases?,
+            marks: part.marks.into_iter().map(Into::into).collect(),
         })
     }
 }
