Check load reports against the flows that a balancer knows

Cause: reports came first, so a target that reported half of its flows got about half as many again as the others. Ruled out: dropping reports altogether, because a new target's flows are known late and ended flows stay known for a while. A report is now compared with the member's own flow table; the median ratio over the targets gives the expected value.

The new test fails with the check switched off.

--- a/crates/zinniadrift-core/src/balancer/target_slot.rs
+++ b/crates/zinniadrift-core/src/balancer/target_slot.rs
@@ -18,6 +18,10 @@
     /// The time at which the target began to ramp up.
     pub(super) ramp_from: Option<MonoTime>,
     pub(super) reported_at: Option<MonoTime>,
+    /// The flows of the last report.
+    pub(super) reported: f64,
+    /// Whether the last report contradicts the flows that this member knows.
+    pub(super) misreports: bool,
     /// The last report plus the placements since, scaled by the number of members.
     pub(super) load: f64,
 }
@@ -34,6 +38,8 @@
             ejected: false,
             ramp_from: None,
             reported_at: None,
+            reported: 0.0,
+            misreports: false,
             load: 0.0,
         }
     }
--- a/crates/zinniadrift-core/src/balancer/target_slots.rs
+++ b/crates/zinniadrift-core/src/balancer/target_slots.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::{TargetReport, TargetSlot};
+use super::{ReportCheck, TargetReport, TargetSlot};
 use crate::ids::TargetId;
 use crate::settings::Target;
 use crate::units::MonoTime;
@@ -62,7 +62,10 @@
         slot.healthy = report.healthy;
         if report.healthy {
             slot.reported_at = Some(now);
-            slot.load = report.open_flows.into();
+            slot.reported = report.open_flows.into();
+            if !slot.misreports {
+                slot.load = slot.reported;
+            }
         }
         self.sum();
         changed
@@ -89,12 +92,25 @@
         changes
     }
 
-    /// Replaces outdated reports by the number of known flows.
+    /// Replaces outdated and contradicted reports by the number of known flows.
     pub(super) fn refresh(&mut self, now: MonoTime, known: impl Fn(u16) -> u32) {
+        let known = |i: usize| f64::from(known(i as u16));
+        let fresh = |s: &TargetSlot| {
+            s.reported_at
+                .is_some_and(|at| now.since(at) < REPORT_TIMEOUT)
+        };
+        let pairs = self.slots.iter().enumerate();
+        let pairs = pairs.filter(|(_, s)| s.active && fresh(s));
+        let check = ReportCheck::new(pairs.map(|(i, s)| (s.reported, known(i))));
         for (i, slot) in self.slots.iter_mut().enumerate() {
-            let fresh = |at: MonoTime| now.since(at) < REPORT_TIMEOUT;
-            if !slot.reported_at.is_some_and(fresh) {
-                slot.load = known(i as u16).into();
+            if !fresh(slot) {
+                slot.misreports = false;
+                slot.load = known(i);
+                continue;
+            }
+            slot.misreports = check.contradicts(slot.reported, known(i));
+            if slot.misreports {
+                slot.load = check.expected(known(i));
             }
         }
         self.sum();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,6 +2,7 @@
 
 mod decoders;
 mod flows;
+mod flows_reports;
 mod flows_scenarios;
 mod flows_world;
 mod report;
