--- /dev/null
+++ b/tests/testsuite/experiments.rs
@@ -0,0 +1,83 @@
+//! Checks the flow experiments on a small population.
+
+use zinniadrift_lab::experiments::{MeasureLine, Scale, balance, flows};
+
+const SMALL: Scale = Scale {
+    flows: 6_000,
+    mean_life_s: 7_200.0,
+    packet_interval_s: 20.0,
+    fill_rate: 200.0,
+};
+
+/// More flows with fewer packets, since the spread of few flows is mostly chance.
+const SPARSE: Scale = Scale {
+    flows: 40_000,
+    packet_interval_s: 120.0,
+    fill_rate: 640.0,
+    ..SMALL
+};
+
+fn figure(lines: &[MeasureLine], name: &str) -> f64 {
+    let found = lines.iter().find(|l| &*l.figure == name);
+    found.unwrap_or_else(|| panic!("no figure {name}")).value
+}
+
+/// Declares one test per figure of `default` and its upper bound.
+macro_rules! bounds {
+    ($(
+        $name:ident: $measure:path, $scale:ident, seed $seed:literal,
+        $($figure:literal <= $bound:literal),+;
+    )*) => {
+        $(
+            #[test]
+            fn $name() {
+                let lines = $measure("default", $seed, $scale);
+                $(
+                    let value = figure(&lines, $figure);
+                    assert!(value <= $bound, "seed {}: {} is {value}", $seed, $figure);
+                )+
+            }
+        )*
+    };
+}
+
+bounds! {
+    // A change or a dead balancer breaks established flows, or traffic crosses services.
+    flows_survive_changes: flows::measure, SMALL, seed 11,
+        "broken_planned" <= 0.0,
+        "broken_balancer_death" <= 1.0,
+        "broken_target_death_avoidable" <= 0.0,
+        "wrong_service" <= 0.0,
+        "new_after_leave" <= 0.0,
+        "control_bytes_per_s" <= 3_000.0;
+    // New flows are not placed by load.
+    load_is_spread_evenly: balance::measure, SPARSE, seed 12,
+        "imbalance_rest" <= 1.05,
+        "imbalance_after_change" <= 1.15;
+}
+
+/// Declares one test per baseline that must break flows, which shows that the check can fail.
+macro_rules! baselines_break_flows {
+    ($($name:ident: $policy:literal;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let lines = flows::measure($policy, 11, SMALL);
+                assert!(figure(&lines, "broken_planned") > 0.0);
+            }
+        )*
+    };
+}
+
+baselines_break_flows! {
+    hash_breaks_flows: "hash";
+    maglev_breaks_flows: "maglev";
+    jet_breaks_flows: "jet";
+}
+
+#[test]
+fn runs_with_equal_seeds_are_equal() {
+    // Iteration over hash maps or a wall clock makes runs differ.
+    let run = || flows::measure("default", 13, SMALL);
+    assert_eq!(run(), run(), "seed 13");
+}
