Keep recent placements when a late load report arrives

Cause: a report replaced a target's estimated load and with it all placements of the last 10 s, which a report that is 10 s late does not contain; members therefore overshot together. Conclusion: each target keeps its placements of the last 10 s and adds them to each report.

--- /dev/null
+++ b/crates/zinniadrift-core/src/balancer/recent_placements.rs
@@ -0,0 +1,41 @@
+use crate::units::MonoTime;
+
+/// The age of the load in a report, in seconds; placements within it are not in the report yet.
+///
+/// A report that is fresher than this makes all targets look alike more loaded, which changes no
+/// comparison between them by much.
+const REPORT_LAG_S: usize = 10;
+
+/// Counts the placements of the last seconds on one target.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct RecentPlacements {
+    per_second: [f64; REPORT_LAG_S],
+    second: u64,
+}
+
+impl RecentPlacements {
+    /// Counts `n` placements.
+    pub(super) fn add(&mut self, now: MonoTime, n: f64) {
+        self.advance(now);
+        self.per_second[slot(self.second)] += n;
+    }
+
+    /// Returns the placements that a report does not contain yet.
+    pub(super) fn sum(&mut self, now: MonoTime) -> f64 {
+        self.advance(now);
+        self.per_second.iter().sum()
+    }
+
+    fn advance(&mut self, now: MonoTime) {
+        let second = now.as_micros() / 1_000_000;
+        let passed = second.saturating_sub(self.second);
+        for i in 0..passed.min(REPORT_LAG_S as u64) {
+            self.per_second[slot(second - i)] = 0.0;
+        }
+        self.second = second.max(self.second);
+    }
+}
+
+const fn slot(second: u64) -> usize {
+    (second % REPORT_LAG_S as u64) as usize
+}
--- a/crates/zinniadrift-core/src/balancer/service_state.rs
+++ b/crates/zinniadrift-core/src/balancer/service_state.rs
@@ -305,7 +305,7 @@
         if !publish {
             cause = Cause::Base;
         }
-        self.targets.place(target, members);
+        self.targets.place(now, target, members);
         Some(Placed {
             target,
             publish,
--- a/crates/zinniadrift-core/src/balancer/target_slot.rs
+++ b/crates/zinniadrift-core/src/balancer/target_slot.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use super::RecentPlacements;
 use crate::ids::TargetId;
 use crate::units::MonoTime;
 
@@ -18,6 +19,8 @@
     /// The time at which the target began to ramp up.
     pub(super) ramp_from: Option<MonoTime>,
     pub(super) reported_at: Option<MonoTime>,
+    /// The placements that the next report may not contain.
+    pub(super) recent: RecentPlacements,
     /// The last report plus the placements since, scaled by the number of members.
     pub(super) load: f64,
 }
@@ -34,6 +37,7 @@
             ejected: false,
             ramp_from: None,
             reported_at: None,
+            recent: RecentPlacements::default(),
             load: 0.0,
         }
     }
--- a/crates/zinniadrift-core/src/balancer/target_slots.rs
+++ b/crates/zinniadrift-core/src/balancer/target_slots.rs
@@ -62,7 +62,7 @@
         slot.healthy = report.healthy;
         if report.healthy {
             slot.reported_at = Some(now);
-            slot.load = report.open_flows.into();
+            slot.load = f64::from(report.open_flows) + slot.recent.sum(now);
         }
         self.sum();
         changed
@@ -101,8 +101,9 @@
     }
 
     /// Counts a placement, scaled by the number of members that place flows alike.
-    pub(super) fn place(&mut self, index: u16, members: f64) {
+    pub(super) fn place(&mut self, now: MonoTime, index: u16, members: f64) {
         let slot = &mut self.slots[usize::from(index)];
+        slot.recent.add(now, members);
         slot.load += members;
         if slot.is_usable() {
             self.usable_load += members;
