--- a/crates/zinniadrift-core/src/balancer/target_slot.rs
+++ b/crates/zinniadrift-core/src/balancer/target_slot.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use super::RecentPlacements;
 use crate::ids::TargetId;
 use crate::units::MonoTime;
 
@@ -22,6 +23,8 @@
     pub(super) reported: f64,
     /// Whether the last report contradicts the flows that this member knows.
     pub(super) misreports: bool,
+    /// The placements that the next report may not contain.
+    pub(super) recent: RecentPlacements,
     /// The last report plus the placements since, scaled by the number of members.
     pub(super) load: f64,
 }
@@ -40,6 +43,7 @@
             reported_at: None,
             reported: 0.0,
             misreports: false,
+            recent: RecentPlacements::default(),
             load: 0.0,
         }
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Holds the integration tests, a module per topic.
 
 mod decoders;
+mod experiments;
 mod flows;
 mod flows_reports;
 mod flows_scenarios;
