Add measure config and store faults

The experiment drives the distribution core and a baseline that polls every 5 s under a virtual clock.

--- a/crates/zinniadrift-lab/src/doubles/platform.rs
+++ b/crates/zinniadrift-lab/src/doubles/platform.rs
@@ -2,23 +2,30 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use axum::extract::{Path, Query, State};
+use axum::extract::{DefaultBodyLimit, Path, Query, State};
 use axum::http::{HeaderMap, StatusCode, header};
 use axum::response::{IntoResponse, Response};
 use axum::routing::{get, post};
-use axum::{Json, Router};
+use axum::{Extension, Json, Router};
+use parking_lot::Mutex;
 use serde_json::Value;
 use tokio::net::TcpListener;
 
-use zinniadrift_platform::{MemoryStore, ObjectStore, Precondition, StoreError, StoreFaults};
+use zinniadrift_platform::{
+    MemoryStore, ObjectStore, Precondition, StoreError, StoreFaults, StoreSnapshot,
+};
 
 const DEFAULT_WATCH_WAIT_MS: u64 = 1_000;
+/// The platform takes values of up to 1 MB.
+const MAX_VALUE_BYTES: usize = 1_000_000;
 
 type Store = State<Arc<MemoryStore>>;
+type Kept = Extension<Arc<Mutex<StoreSnapshot>>>;
 
 /// Serves the platform's object API from memory until `stop` completes.
 ///
-/// `POST /faults` replaces the injected faults.
+/// `POST /faults` replaces the injected faults. `POST /snapshot` keeps the present state, and
+/// `POST /restore` goes back to the one that was kept last.
 ///
 /// # Errors
 ///
@@ -27,12 +34,18 @@
     listener: TcpListener,
     stop: impl Future<Output = ()> + Send + 'static,
 ) -> std::io::Result<()> {
+    let store = Arc::new(MemoryStore::default());
+    let kept = Arc::new(Mutex::new(StoreSnapshot::default()));
     let app = Router::new()
         .route("/objects/{*key}", get(read).put(write))
         .route("/list/{*prefix}", get(list))
         .route("/watch/{*prefix}", get(watch))
         .route("/faults", post(set_faults))
-        .with_state(Arc::new(MemoryStore::default()));
+        .route("/snapshot", post(keep))
+        .route("/restore", post(restore))
+        .layer(DefaultBodyLimit::max(MAX_VALUE_BYTES))
+        .layer(Extension(kept))
+        .with_state(store);
     // Pending watches must not delay the end of the process, so the server is dropped, not drained.
     tokio::select! {
         result = axum::serve(listener, app).into_future() => result,
@@ -94,6 +107,16 @@
     StatusCode::NO_CONTENT
 }
 
+async fn keep(State(store): Store, Extension(kept): Kept) -> StatusCode {
+    *kept.lock() = store.snapshot();
+    StatusCode::NO_CONTENT
+}
+
+async fn restore(State(store): Store, Extension(kept): Kept) -> StatusCode {
+    store.restore(kept.lock().clone());
+    StatusCode::NO_CONTENT
+}
+
 fn precondition(headers: &HeaderMap) -> Option<Precondition> {
     if headers.contains_key(header::IF_NONE_MATCH) {
         return Some(Precondition::Absent);
--- /dev/null
+++ b/crates/zinniadrift-lab/src/experiments/config/mod.rs
@@ -0,0 +1,145 @@
+//! Measures how edits of the settings reach the daemons.
+
+mod daemon;
+mod in_force;
+mod plan;
+mod platform_model;
+mod poll_daemon;
+mod report;
+mod simulation;
+mod timeline;
+mod tree;
+
+use std::time::Duration;
+
+use daemon::Daemon;
+pub use plan::{ConfigPlan, ConfigPolicy};
+pub use report::ConfigReport;
+use simulation::Simulation;
+
+use super::MeasureLine;
+
+const MEASURE: &str = "config";
+const MEMBERS: [usize; 4] = [4, 8, 16, 32];
+const SERVICES: [usize; 3] = [4, 40, 400];
+/// Edits of one run of the sweep over sizes; large documents make each of them slow to simulate.
+const SWEEP_EDITS: u32 = 10;
+
+/// Lists the policies of the experiment.
+///
+/// `unchecked` is `default` with the check of versions switched off; `poll` reads the platform every
+/// 5 s and puts in force whatever it gets.
+pub const CONFIG_POLICIES: &[&str] = &["default", "poll", "unchecked"];
+
+/// Runs the experiment with one policy on one seed.
+pub fn measure_config(policy: &str, seed: u64) -> Vec<MeasureLine> {
+    let Some(kind) = ConfigPolicy::from_name(policy) else {
+        return Vec::new();
+    };
+    let mut lines = Lines {
+        policy,
+        seed,
+        lines: Vec::new(),
+    };
+    lines.calm(&run_config(kind, seed, &ConfigPlan::default()));
+    lines.faults(&run_config(kind, seed, &ConfigPlan::with_faults()));
+    let all_late = ConfigPlan {
+        late_every: 1,
+        ..ConfigPlan::default()
+    };
+    lines.all_late(&run_config(kind, seed, &all_late));
+    if kind == ConfigPolicy::Default {
+        lines.sweep(seed);
+    }
+    lines.lines
+}
+
+/// Runs one simulation.
+pub fn run_config(policy: ConfigPolicy, seed: u64, plan: &ConfigPlan) -> ConfigReport {
+    Simulation::new(policy, seed, plan.clone()).run()
+}
+
+struct Lines<'a> {
+    policy: &'a str,
+    seed: u64,
+    lines: Vec<MeasureLine>,
+}
+
+impl Lines<'_> {
+    fn push(&mut self, figure: impl Into<Box<str>>, value: f64, unit: &'static str) {
+        self.lines.push(MeasureLine {
+            measure: MEASURE,
+            policy: self.policy.into(),
+            seed: self.seed,
+            figure: figure.into(),
+            value,
+            unit,
+        });
+    }
+
+    fn calm(&mut self, report: &ConfigReport) {
+        self.push("in_force_ms", millis(report.worst_in_force()), "ms");
+        self.push("in_force_ms_median", millis(report.median_in_force()), "ms");
+        self.push("edits", f64::from(report.edits), "edits");
+        self.push("never_in_force", f64::from(report.never_in_force), "edits");
+        self.push("store_calls_per_s", report.store_calls_per_s(), "calls/s");
+    }
+
+    fn faults(&mut self, report: &ConfigReport) {
+        self.push("reverts", f64::from(report.reverts), "reverts");
+        self.push("faults", f64::from(report.faults), "faults");
+        self.push("edits_with_faults", f64::from(report.edits), "edits");
+        let missing = f64::from(report.not_converged);
+        self.push("behind_at_end", missing, "daemons");
+        let worst = millis(report.worst_in_force());
+        self.push("in_force_ms_with_faults", worst, "ms");
+        let calls = report.store_calls_per_s();
+        self.push("store_calls_per_s_with_faults", calls, "calls/s");
+    }
+
+    fn all_late(&mut self, report: &ConfigReport) {
+        let worst = millis(report.worst_in_force());
+        self.push("in_force_ms_all_late", worst, "ms");
+        let median = millis(report.median_in_force());
+        self.push("in_force_ms_all_late_median", median, "ms");
+    }
+
+    fn sweep(&mut self, seed: u64) {
+        let base = ConfigPlan {
+            edits: SWEEP_EDITS,
+            ..ConfigPlan::default()
+        };
+        for members in MEMBERS {
+            let plan = ConfigPlan {
+                members,
+                ..base.clone()
+            };
+            let r = run_config(ConfigPolicy::Default, seed, &plan);
+            let name = |figure| format!("{figure}_members_{members}");
+            self.push(name("store_calls_per_s"), r.store_calls_per_s(), "calls/s");
+            self.push(
+                name("notice_bytes_per_edit"),
+                r.notice_bytes_per_edit(),
+                "B",
+            );
+            self.push(name("in_force_ms"), millis(r.worst_in_force()), "ms");
+        }
+        for services in SERVICES {
+            let plan = ConfigPlan {
+                services,
+                ..base.clone()
+            };
+            let r = run_config(ConfigPolicy::Default, seed, &plan);
+            let name = |figure| format!("{figure}_services_{services}");
+            self.push(name("document_bytes"), r.document_bytes as f64, "B");
+            self.push(name("store_calls_per_s"), r.store_calls_per_s(), "calls/s");
+            self.push(name("pull_bytes_per_edit"), r.pull_bytes_per_edit(), "B");
+            let bytes = r.platform_bytes_per_s_per_daemon();
+            self.push(name("platform_bytes_per_s_per_daemon"), bytes, "B/s");
+        }
+    }
+}
+
+fn millis(d: Duration) -> f64 {
+    d.as_secs_f64() * 1_000.0
+}
--- /dev/null
+++ b/crates/zinniadrift-lab/src/experiments/config/platform_model.rs
@@ -0,0 +1,140 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::{Rng, RngExt, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+
+use zinniadrift_core::settings::Node;
+use zinniadrift_core::units::{MonoTime, Version};
+
+use super::ConfigPlan;
+use super::tree::build_document;
+
+/// An odd factor that spreads small seeds, so that neighbouring seeds have no delays in common.
+const SEED_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
+/// The longest delay with which an update reaches a watch that is not late.
+const PROMPT_LAG: Duration = Duration::from_millis(50);
+
+/// Models the platform's settings object with its history.
+#[derive(Debug)]
+pub(super) struct PlatformModel {
+    tree: Node,
+    states: Vec<State>,
+    revision: u64,
+    edits: u64,
+    seed: u64,
+    lag: Duration,
+    late_every: usize,
+    /// Until then no call is answered.
+    pub(super) down_until: MonoTime,
+    /// Until then calls from this availability zone are not answered.
+    pub(super) cut: (usize, MonoTime),
+    /// Until then half of the reads return an earlier state.
+    pub(super) stale_until: MonoTime,
+    /// Until then half of the answers are lost.
+    pub(super) lossy_until: MonoTime,
+}
+
+#[derive(Clone, Debug)]
+struct State {
+    at: MonoTime,
+    revision: u64,
+    version: Version,
+    document: Bytes,
+}
+
+impl PlatformModel {
+    pub(super) fn new(tree: Node, seed: u64, plan: &ConfigPlan) -> Self {
+        Self {
+            tree,
+            states: Vec::new(),
+            revision: 0,
+            edits: 0,
+            seed,
+            lag: plan.watch_lag,
+            late_every: plan.late_every,
+            down_until: MonoTime::default(),
+            cut: (0, MonoTime::default()),
+            stale_until: MonoTime::default(),
+            lossy_until: MonoTime::default(),
+        }
+    }
+
+    pub(super) fn version(&self) -> Version {
+        self.states
+            .last()
+            .map_or_else(Version::default, |s| s.version)
+    }
+
+    pub(super) fn document_bytes(&self) -> usize {
+        self.states.last().map_or(0, |s| s.document.len())
+    }
+
+    /// Stores an edit with a version above the stored one and `floor`.
+    pub(super) fn edit(&mut self, now: MonoTime, floor: Version) -> Version {
+        let version = self.version().max(floor).next();
+        self.edits += 1;
+        let document = build_document(&self.tree, version, self.edits);
+        self.push(now, version, document);
+        version
+    }
+
+    /// Goes back to the state before the last `edits` edits, with that state's revision.
+    pub(super) fn restore(&mut self, now: MonoTime, edits: usize) {
+        let index = self.states.len().saturating_sub(edits + 1);
+        if let Some(older) = self.states.get(index).cloned() {
+            self.revision = older.revision;
+            self.states.push(State { at: now, ..older });
+        }
+    }
+
+    fn push(&mut self, at: MonoTime, version: Version, document: Bytes) {
+        self.revision += 1;
+        let revision = self.revision;
+        self.states.push(State {
+            at,
+            revision,
+            version,
+            document,
+        });
+    }
+
+    pub(super) fn is_reachable(&self, now: MonoTime, zone: usize) -> bool {
+        let is_cut = self.cut.0 == zone && now < self.cut.1;
+        now >= self.down_until && !is_cut
+    }
+
+    /// Returns the delay with which the last state reaches a daemon's watch.
+    pub(super) fn lag_of(&self, daemon: usize) -> Duration {
+        self.lag_at(daemon, self.states.len().saturating_sub(1))
+    }
+
+    fn lag_at(&self, daemon: usize, state: usize) -> Duration {
+        let is_late = (daemon + 1).is_multiple_of(self.late_every);
+        let salt = (daemon as u64) << 32 | state as u64;
+        let mut rng = Xoshiro256PlusPlus::seed_from_u64(self.seed.wrapping_mul(SEED_FACTOR) ^ salt);
+        let longest = if is_late { self.lag } else { PROMPT_LAG };
+        longest.mul_f64(rng.random())
+    }
+
+    /// Returns revision and document that a daemon's watch sees, if the revision is above `after`.
+    pub(super) fn watched(&self, now: MonoTime, daemon: usize, after: u64) -> Option<(u64, Bytes)> {
+        let mut states = self.states.iter().enumerate().rev();
+        let (_, state) = states.find(|(i, s)| now >= s.at + self.lag_at(daemon, *i))?;
+        (state.revision > after).then(|| (state.revision, state.document.clone()))
+    }
+
+    /// Returns revision and document that a read sees, if the revision is above `after`.
+    pub(super) fn read(
+        &self,
+        now: MonoTime,
+        after: u64,
+        rng: &mut impl Rng,
+    ) -> Option<(u64, Bytes)> {
+        let is_stale = now < self.stale_until && rng.random_bool(0.5);
+        let age = if is_stale { rng.random_range(1..=3) } else { 0 };
+        let index = self.states.len().saturating_sub(age + 1);
+        let state = self.states.get(index)?;
+        (state.revision > after).then(|| (state.revision, state.document.clone()))
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-lab/src/experiments/config/simulation.rs
@@ -0,0 +1,381 @@
+mod traffic;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use prost::Message;
+use rand::{RngExt, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+
+use zinniadrift_core::distribution::{
+    Distribution, DistributionAction, DistributionEvent, DistributionSettings,
+};
+use zinniadrift_core::ids::{MemberId, ZoneName};
+use zinniadrift_core::units::{MonoTime, Version};
+use zinniadrift_proto::v1;
+
+use super::in_force::InForce;
+use super::platform_model::PlatformModel;
+use super::poll_daemon::PollDaemon;
+use super::timeline::{Happening, Timeline};
+use super::tree::build_tree;
+use super::{ConfigPlan, ConfigPolicy, ConfigReport, Daemon};
+
+/// The shortest and longest time of a message between two daemons.
+const HOP: [Duration; 2] = [Duration::from_micros(500), Duration::from_millis(5)];
+const CALL_LATENCY: Duration = Duration::from_millis(2);
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+const DEAD_TIMEOUT: Duration = Duration::from_secs(3);
+const POLL_INTERVAL: Duration = Duration::from_secs(5);
+const FIRST_EDIT: MonoTime = MonoTime::from_millis(1);
+/// Edits and faults end before the run does, so that the daemons can converge.
+const SETTLE_TIME: Duration = Duration::from_secs(90);
+/// The time until an operator notices that the store went back to an older state.
+const RECOVERY_TIME: Duration = Duration::from_secs(20);
+/// A UDP and IPv4 header, which each datagram adds.
+const HEADER_BYTES: usize = 28;
+
+/// Drives the daemons of one run under a virtual clock.
+pub(super) struct Simulation {
+    policy: ConfigPolicy,
+    plan: ConfigPlan,
+    rng: Xoshiro256PlusPlus,
+    /// Draws edits and faults, so that all policies meet the same ones on one seed.
+    schedule: Xoshiro256PlusPlus,
+    now: MonoTime,
+    end: MonoTime,
+    timeline: Timeline,
+    platform: PlatformModel,
+    hosts: Vec<Host>,
+    in_force: InForce,
+    report: ConfigReport,
+    notice_bytes: usize,
+}
+
+struct Host {
+    zone: usize,
+    /// Counts the daemon's runs, so that what was meant for an earlier one is dropped.
+    run: u32,
+    daemon: Option<Box<dyn Daemon>>,
+    /// The number of the last call, and of the watch that is pending.
+    call: u64,
+    watch: Option<(u64, u64)>,
+    heard: Vec<MonoTime>,
+    peers: Vec<usize>,
+    tick: Option<MonoTime>,
+}
+
+impl Simulation {
+    pub(super) fn new(policy: ConfigPolicy, seed: u64, plan: ConfigPlan) -> Self {
+        let end = FIRST_EDIT + plan.edit_interval * plan.edits + SETTLE_TIME;
+        let hosts = (0..plan.members).map(|i| Host {
+            zone: i % plan.zones,
+            run: 0,
+            daemon: None,
+            call: 0,
+            watch: None,
+            heard: vec![MonoTime::default(); plan.members],
+            peers: Vec::new(),
+            tick: None,
+        });
+        Self {
+            policy,
+            rng: Xoshiro256PlusPlus::seed_from_u64(seed),
+            schedule: Xoshiro256PlusPlus::seed_from_u64(!seed),
+            now: MonoTime::default(),
+            end,
+            timeline: Timeline::default(),
+            platform: PlatformModel::new(build_tree(plan.services), seed, &plan),
+            hosts: hosts.collect(),
+            in_force: InForce::new(plan.members),
+            report: ConfigReport {
+                members: plan.members,
+                duration: end.since(MonoTime::default()),
+                ..ConfigReport::default()
+            },
+            notice_bytes: notice_bytes(),
+            plan,
+        }
+    }
+
+    pub(super) fn run(mut self) -> ConfigReport {
+        self.platform.edit(MonoTime::default(), Version::default());
+        for daemon in 0..self.hosts.len() {
+            let at = MonoTime::default() + HEARTBEAT_INTERVAL.mul_f64(self.rng.random());
+            self.timeline.push(at, Happening::Start { daemon });
+        }
+        let settled = FIRST_EDIT + Duration::from_secs(10);
+        self.timeline.push(settled, Happening::Edit);
+        if let Some(interval) = self.plan.fault_interval {
+            self.timeline.push(settled + interval, Happening::Fault);
+        }
+        while let Some((at, happening)) = self.timeline.pop() {
+            if at >= self.end {
+                break;
+            }
+            self.now = at;
+            self.happen(happening);
+        }
+        self.in_force.fill(&mut self.report);
+        let highest = self.platform.version();
+        let behind = self.hosts.iter().filter(|h| h.version() != highest);
+        self.report.not_converged = behind.count() as u32;
+        self.report.document_bytes = self.platform.document_bytes();
+        self.report
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Edit => self.edit(),
+            Happening::Fault => self.inject(),
+            Happening::Recover => self.recover(),
+            Happening::Visible { daemon } => self.answer_watch(daemon),
+            Happening::WaitEnds { daemon, call } => self.end_wait(daemon, call),
+            Happening::Answer {
+                daemon,
+                call,
+                answer,
+            } => self.take_answer(daemon, call, answer),
+            Happening::StatusWritten { daemon, run, ok } => {
+                if self.hosts[daemon].run == run {
+                    self.give(daemon, DistributionEvent::StatusWritten { ok });
+                }
+            }
+            Happening::PeerVersion {
+                daemon,
+                from,
+                version,
+            } => self.hear(daemon, from, version),
+            Happening::PullArrives { daemon, run, from } => {
+                let document = self.hosts[from].daemon.as_ref().and_then(|d| d.document());
+                self.report.pull_bytes += document.as_ref().map_or(0, Bytes::len) as u64;
+                let pulled = Happening::Pulled {
+                    daemon,
+                    run,
+                    from,
+                    document,
+                };
+                let at = self.now + self.hop();
+                self.timeline.push(at, pulled);
+            }
+            Happening::Pulled {
+                daemon,
+                run,
+                from,
+                document,
+            } => {
+                if self.hosts[daemon].run == run {
+                    let from = member_id(from);
+                    self.give(daemon, DistributionEvent::PeerDocument { from, document });
+                }
+            }
+            Happening::Heartbeat { daemon, run } => {
+                if self.hosts[daemon].run == run {
+                    self.beat(daemon);
+                }
+            }
+            Happening::Tick { daemon, run } => {
+                if self.hosts[daemon].run == run {
+                    self.hosts[daemon].tick = None;
+                    self.give(daemon, DistributionEvent::Tick);
+                }
+            }
+            Happening::Start { daemon } => self.start(daemon),
+        }
+    }
+
+    fn edit(&mut self) {
+        if self.now + SETTLE_TIME >= self.end {
+            return;
+        }
+        // An editor is refused while the platform is down or behind a daemon.
+        let is_behind = self.platform.version() < self.in_force.highest();
+        if self.now >= self.platform.down_until && !is_behind {
+            self.accept(Version::default());
+        }
+        let gap = self
+            .plan
+            .edit_interval
+            .mul_f64(self.schedule.random_range(0.5..1.5));
+        self.timeline.push(self.now + gap, Happening::Edit);
+    }
+
+    fn recover(&mut self) {
+        let highest = self.in_force.highest();
+        if self.platform.version() < highest {
+            self.accept(highest);
+        }
+    }
+
+    fn accept(&mut self, floor: Version) {
+        let version = self.platform.edit(self.now, floor);
+        self.in_force.accept(self.now, version);
+        for daemon in 0..self.hosts.len() {
+            let at = self.now + self.platform.lag_of(daemon);
+            self.timeline.push(at, Happening::Visible { daemon });
+        }
+    }
+
+    /// Begins one fault of a random kind and plans the next.
+    fn inject(&mut self) {
+        let Some(interval) = self.plan.fault_interval else {
+            return;
+        };
+        if self.now + SETTLE_TIME * 2 >= self.end {
+            return;
+        }
+        self.report.faults += 1;
+        let until = self.now + interval.mul_f64(self.schedule.random_range(0.2..0.8));
+        match self.schedule.random_range(0..6) {
+            0 => {
+                self.platform.down_until = until;
+                self.fail_watches();
+            }
+            1 => {
+                let zone = self.schedule.random_range(0..self.plan.zones);
+                self.platform.cut = (zone, until);
+            }
+            2 => self.platform.stale_until = until,
+            3 => self.platform.lossy_until = until,
+            4 => self.restart(until),
+            _ => {
+                self.platform
+                    .restore(self.now, self.schedule.random_range(1..=3));
+                let at = self.now + RECOVERY_TIME;
+                self.timeline.push(at, Happening::Recover);
+            }
+        }
+        let gap = interval.mul_f64(self.schedule.random_range(0.5..1.5));
+        self.timeline.push(self.now + gap, Happening::Fault);
+    }
+
+    fn restart(&mut self, until: MonoTime) {
+        let daemon = self.schedule.random_range(0..self.hosts.len());
+        let host = &mut self.hosts[daemon];
+        host.daemon = None;
+        host.run += 1;
+        host.watch = None;
+        host.call += 1;
+        host.tick = None;
+        self.timeline.push(until, Happening::Start { daemon });
+    }
+
+    fn start(&mut self, daemon: usize) {
+        if self.hosts[daemon].daemon.is_some() {
+            return;
+        }
+        let seed = self.rng.random();
+        let new: Box<dyn Daemon> = match self.policy {
+            ConfigPolicy::Poll => {
+                let first = self.now + POLL_INTERVAL.mul_f64(self.rng.random());
+                Box::new(PollDaemon::new(first))
+            }
+            ConfigPolicy::Default | ConfigPolicy::Unchecked => {
+                Box::new(Distribution::new(DistributionSettings {
+                    member: member_id(daemon),
+                    zone: zone_name(self.hosts[daemon].zone),
+                    seed,
+                    expects_peers: true,
+                    refuse_lower: self.policy == ConfigPolicy::Default,
+                    ..DistributionSettings::default()
+                }))
+            }
+        };
+        let host = &mut self.hosts[daemon];
+        host.daemon = Some(new);
+        host.peers.clear();
+        host.heard.fill(MonoTime::default());
+        let run = host.run;
+        self.timeline
+            .push(self.now, Happening::Heartbeat { daemon, run });
+        self.give(daemon, DistributionEvent::Tick);
+    }
+
+    /// Passes an event to a daemon and performs its actions.
+    fn give(&mut self, daemon: usize, event: DistributionEvent) {
+        let mut out = Vec::new();
+        let Some(core) = self.hosts[daemon].daemon.as_mut() else {
+            return;
+        };
+        core.handle(self.now, event, &mut out);
+        for action in out {
+            self.act(daemon, action);
+        }
+        let host = &mut self.hosts[daemon];
+        let deadline = host.daemon.as_ref().and_then(|d| d.next_deadline());
+        if let Some(at) = deadline.filter(|at| host.tick.is_none_or(|t| *at < t)) {
+            host.tick = Some(at);
+            let run = host.run;
+            self.timeline.push(at, Happening::Tick { daemon, run });
+        }
+    }
+
+    fn act(&mut self, daemon: usize, action: DistributionAction) {
+        let run = self.hosts[daemon].run;
+        match action {
+            DistributionAction::WatchPlatform { after, wait } => self.call(daemon, after, wait),
+            DistributionAction::StopWatch => {
+                self.hosts[daemon].watch = None;
+                self.hosts[daemon].call += 1;
+            }
+            DistributionAction::PullFrom { peer } => {
+                let from = (0..self.hosts.len()).find(|i| member_id(*i) == peer);
+                if let Some(from) = from {
+                    let at = self.now + self.hop();
+                    let pull = Happening::PullArrives { daemon, run, from };
+                    self.timeline.push(at, pull);
+                }
+            }
+            DistributionAction::Install(catalog) => {
+                self.in_force.install(self.now, daemon, catalog.version);
+            }
+            DistributionAction::Notify { version } => {
+                let peers = self.hosts[daemon].peers.clone();
+                self.report.notice_bytes += (peers.len() * self.notice_bytes) as u64;
+                for peer in peers {
+                    self.send_version(daemon, peer, version);
+                }
+            }
+            DistributionAction::WriteStatus => {
+                self.report.store_calls += 1;
+                let ok = self
+                    .platform
+                    .is_reachable(self.now, self.hosts[daemon].zone)
+                    && !self.loses_answer();
+                let delay = if ok { CALL_LATENCY } else { CALL_TIMEOUT };
+                let written = Happening::StatusWritten { daemon, run, ok };
+                self.timeline.push(self.now + delay, written);
+            }
+        }
+    }
+}
+
+impl Host {
+    fn version(&self) -> Version {
+        self.daemon
+            .as_ref()
+            .map_or_else(Version::default, |d| d.version())
+    }
+}
+
+fn member_id(daemon: usize) -> MemberId {
+    MemberId::from_name(&format!("balancer-{daemon}"))
+}
+
+fn zone_name(zone: usize) -> ZoneName {
+    format!("zone-{zone}").into_boxed_str().into()
+}
+
+/// Returns the size of a settings notice on the wire.
+fn notice_bytes() -> usize {
+    let datagram = v1::Datagram {
+        group: "granite".into(),
+        sender: u32::MAX,
+        incarnation: u64::MAX,
+        body: Some(v1::datagram::Body::SettingsNotice(v1::SettingsNotice {
+            version: 1_000_000,
+        })),
+    };
+    HEADER_BYTES + datagram.encoded_len()
+}
--- /dev/null
+++ b/crates/zinniadrift-lab/src/experiments/config/tree.rs
@@ -0,0 +1,54 @@
+use bytes::Bytes;
+
+use zinniadrift_core::settings::{Document, Node, ServiceNode, TargetNode, TargetState};
+use zinniadrift_core::units::{Version, Weight};
+
+/// Targets of the two services of a user, which the tree repeats.
+const TARGETS: [usize; 2] = [15, 4];
+const ZONES: [&str; 3] = ["lowell", "nashua", "concord"];
+const SLOTS: u16 = 2;
+
+/// Returns a tree of `services` services.
+pub(super) fn build_tree(services: usize) -> Node {
+    let mut root = Node::default();
+    for i in 0..services {
+        let [high, low] = (i as u16).to_be_bytes();
+        let targets = (0..TARGETS[i % TARGETS.len()]).map(|t| {
+            let zone = ZONES[t % ZONES.len()];
+            let target = TargetNode {
+                address: ([10, high, low, t as u8], 7_000).into(),
+                zone: zone.into(),
+                weight: Weight::default(),
+                state: TargetState::Active,
+                slots: SLOTS,
+            };
+            (format!("{zone}-{t}").into(), target)
+        });
+        let service = Node {
+            service: Some(ServiceNode {
+                address: std::net::SocketAddrV4::new([10, 200, high, low].into(), 443),
+            }),
+            targets: targets.collect(),
+            ..Node::default()
+        };
+        root.nodes.insert(format!("service-{i}").into(), service);
+    }
+    root
+}
+
+/// Returns the document of the given version, with the drain of a target as its last edit.
+pub(super) fn build_document(tree: &Node, version: Version, edit: u64) -> Bytes {
+    let mut tree = tree.clone();
+    let nodes = tree.nodes.len().max(1);
+    let node = tree.nodes.values_mut().nth(edit as usize % nodes);
+    if let Some(target) = node.and_then(|n| n.targets.values_mut().next()) {
+        target.state = TargetState::Draining;
+    }
+    let document = Document {
+        version,
+        edit_id: format!("{edit:016x}").into(),
+        tree,
+        ..Document::default()
+    };
+    serde_json::to_vec(&document).unwrap_or_default().into()
+}
--- a/crates/zinniadrift-lab/src/experiments/experiment.rs
+++ b/crates/zinniadrift-lab/src/experiments/experiment.rs
@@ -1,4 +1,5 @@
 use super::MeasureLine;
+use super::config::{CONFIG_POLICIES, measure_config};
 
 /// Is an experiment that `measure` can run by name.
 #[derive(Clone, Copy, Debug)]
@@ -12,4 +13,8 @@
 }
 
 /// Lists all experiments.
-pub const EXPERIMENTS: &[Experiment] = &[];
+pub const EXPERIMENTS: &[Experiment] = &[Experiment {
+    name: "config",
+    policies: CONFIG_POLICIES,
+    run: measure_config,
+}];
--- a/crates/zinniadrift-lab/src/experiments/mod.rs
+++ b/crates/zinniadrift-lab/src/experiments/mod.rs
@@ -1,5 +1,6 @@
 //! Runs the real core under a virtual clock and measures it.
 
+pub mod config;
 mod experiment;
 mod measure_line;
 
