--- a/crates/zinniadrift-core/src/settings/catalog.rs
+++ b/crates/zinniadrift-core/src/settings/catalog.rs
@@ -1,7 +1,12 @@
+use std::collections::BTreeSet;
+
 use super::checker::Checker;
 use super::{Document, Service, SettingsError, shape};
 use crate::units::Version;
 
+/// The JSON path of the tree in a document.
+const TREE_PATH: &str = "$.tree";
+
 /// Holds a checked settings tree in the form that daemons use.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ServiceCatalog {
@@ -23,7 +28,9 @@
         }
         let shaped = shape::read::<Document>(json, "$");
         let mut faults = shaped.faults;
-        if let Some(Err(further)) = shaped.value.as_ref().map(Self::check) {
+        let tree = shaped.value.as_ref().map(|doc| &doc.tree);
+        let further = tree.map(|tree| Checker::check(tree, TREE_PATH, &shaped.dropped));
+        if let Some(Err(further)) = further {
             faults.extend(further);
         }
         Err(faults)
@@ -35,7 +42,7 @@
     ///
     /// Returns every fault found.
     pub fn check(doc: &Document) -> Result<Self, Vec<SettingsError>> {
-        let services = Checker::check(&doc.tree, "$.tree")?;
+        let services = Checker::check(&doc.tree, TREE_PATH, &BTreeSet::new())?;
         Ok(Self {
             version: doc.version,
             services,
--- a/crates/zinniadrift-core/src/settings/checker.rs
+++ b/crates/zinniadrift-core/src/settings/checker.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use serde_json::{Map, Value};
@@ -11,8 +11,10 @@
 use crate::ids::{ServiceId, TargetId};
 
 /// Walks a tree, flattens it into services and collects every fault.
-#[derive(Debug, Default)]
-pub(super) struct Checker {
+#[derive(Debug)]
+pub(super) struct Checker<'a> {
+    /// The JSON paths of parts that were left out because their shape has a fault.
+    dropped: &'a BTreeSet<String>,
     services: Vec<Service>,
     faults: Vec<SettingsError>,
     /// The JSON path of each service's node, to name it in faults between services.
@@ -27,10 +29,21 @@
     depth: usize,
 }
 
-impl Checker {
+impl<'a> Checker<'a> {
     /// Returns the services sorted by path, or every fault; `root` is the tree's JSON path.
-    pub(super) fn check(tree: &Node, root: &str) -> Result<Vec<Service>, Vec<SettingsError>> {
-        let mut checker = Self::default();
+    ///
+    /// Faults that only follow from the parts in `dropped` are not reported.
+    pub(super) fn check(
+        tree: &Node,
+        root: &str,
+        dropped: &'a BTreeSet<String>,
+    ) -> Result<Vec<Service>, Vec<SettingsError>> {
+        let mut checker = Self {
+            dropped,
+            services: Vec::new(),
+            faults: Vec::new(),
+            places: BTreeMap::new(),
+        };
         let defaults = match serde_json::to_value(Policies::default()) {
             Ok(Value::Object(map)) => map,
             _ => Map::new(),
@@ -66,14 +79,10 @@
         if !node.policies.is_empty() {
             overlay(&mut effective, &self.accepted(node, at, defaults));
         }
+        self.check_targets(&node.targets, at);
         match &node.service {
             Some(service) => self.add(service, &node.targets, at, effective.clone()),
-            None if !node.targets.is_empty() => self.fault(
-                &format!("{}.targets", at.json_path),
-                "targets of a node without a service",
-                "targets only beside a service",
-            ),
-            None => {}
+            None => self.check_orphans(node, at),
         }
         for (name, child) in &node.nodes {
             let json_path = format!("{}.nodes.{name}", at.json_path);
@@ -129,26 +138,16 @@
         }
         let address = SocketAddr::V4(service.address);
         self.check_address(address, &format!("{}.service.address", at.json_path));
-        let mut owners: BTreeMap<SocketAddr, &str> = BTreeMap::new();
-        let mut targets = Vec::with_capacity(nodes.len());
-        for (name, t) in nodes {
-            let json_path = format!("{}.targets.{name}", at.json_path);
-            self.check_target(name, t, &json_path);
-            if let Some(owner) = owners.insert(t.address, name) {
-                let expected = format!("another address than that of target {owner}");
-                let path = format!("{json_path}.address");
-                self.fault(&path, &t.address.to_string(), &expected);
-            }
-            targets.push(Target {
-                id: TargetId::from_name(at.path, name),
-                name: name.clone(),
-                address: t.address,
-                zone: t.zone.clone(),
-                weight: t.weight,
-                state: t.state,
-                slots: t.slots,
-            });
-        }
+        let targets = nodes.iter().map(|(name, t)| Target {
+            id: TargetId::from_name(at.path, name),
+            name: name.clone(),
+            address: t.address,
+            zone: t.zone.clone(),
+            weight: t.weight,
+            state: t.state,
+            slots: t.slots,
+        });
+        let targets = targets.collect();
         let policies = serde_json::from_value(Value::Object(effective)).unwrap_or_default();
         self.places.insert(at.path.into(), at.json_path.into());
         self.services.push(Service {
@@ -160,6 +159,29 @@
         });
     }
 
+    fn check_orphans(&mut self, node: &Node, at: Place<'_>) {
+        let had_service = self.dropped.contains(&format!("{}.service", at.json_path));
+        if node.targets.is_empty() || had_service {
+            return;
+        }
+        let path = format!("{}.targets", at.json_path);
+        let expected = "targets only beside a service";
+        self.fault(&path, "targets of a node without a service", expected);
+    }
+
+    fn check_targets(&mut self, targets: &BTreeMap<Box<str>, TargetNode>, at: Place<'_>) {
+        let mut owners: BTreeMap<SocketAddr, &str> = BTreeMap::new();
+        for (name, t) in targets {
+            let json_path = format!("{}.targets.{name}", at.json_path);
+            self.check_target(name, t, &json_path);
+            if let Some(owner) = owners.insert(t.address, name) {
+                let expected = format!("another address than that of target {owner}");
+                let path = format!("{json_path}.address");
+                self.fault(&path, &quote(&t.address.to_string()), &expected);
+            }
+        }
+    }
+
     fn check_target(&mut self, name: &str, target: &TargetNode, json_path: &str) {
         self.check_name(name, json_path);
         self.check_address(target.address, &format!("{json_path}.address"));
--- a/crates/zinniadrift-core/src/settings/node.rs
+++ b/crates/zinniadrift-core/src/settings/node.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, SocketAddrV4};
 
 use serde::{Deserialize, Serialize};
@@ -36,7 +36,9 @@
     pub fn parse(json: &[u8]) -> Result<Self, Vec<SettingsError>> {
         let shaped = shape::read::<Self>(json, "$");
         let mut faults = shaped.faults;
-        if let Some(Err(further)) = shaped.value.as_ref().map(Self::check) {
+        let tree = shaped.value.as_ref();
+        let further = tree.map(|tree| Checker::check(tree, "$", &shaped.dropped));
+        if let Some(Err(further)) = further {
             faults.extend(further);
         }
         match shaped.value {
@@ -51,7 +53,7 @@
     ///
     /// Returns every fault found.
     pub fn check(&self) -> Result<(), Vec<SettingsError>> {
-        Checker::check(self, "$").map(|_| ())
+        Checker::check(self, "$", &BTreeSet::new()).map(|_| ())
     }
 
     /// Returns this tree with one setting changed, or removed if `value` is `None`.
--- a/crates/zinniadrift-core/src/settings/shape.rs
+++ b/crates/zinniadrift-core/src/settings/shape.rs
@@ -15,6 +15,8 @@
     /// The JSON without its faulty parts.
     pub(super) json: Value,
     pub(super) faults: Vec<SettingsError>,
+    /// The JSON paths of the faulty parts.
+    pub(super) dropped: BTreeSet<String>,
 }
 
 /// Reads JSON text and finds every fault of its shape.
@@ -23,6 +25,7 @@
         value: None,
         json: Value::Null,
         faults: vec![fault],
+        dropped: BTreeSet::new(),
     };
     if let Err(fault) = limits::check_size(json, root) {
         return fail(fault);
@@ -62,20 +65,19 @@
         }
         dropped.insert(keys);
     };
+    let dropped = dropped.iter().map(|keys| place_of(root, keys)).collect();
     Shaped {
         value,
         json,
         faults,
+        dropped,
     }
 }
 
 /// Describes a fault that the parser reports; `json` is the whole value, if it was readable.
 pub(super) fn fault_of(root: &str, path: &Path, text: &str, json: Option<&Value>) -> SettingsError {
-    let mut place = root.to_owned();
-    for segment in path {
-        place.push('.');
-        place.push_str(&segment.to_string());
-    }
+    let keys: Vec<String> = path.iter().map(ToString::to_string).collect();
+    let place = place_of(root, &keys);
     if let Some(field) = missing_field(text) {
         return SettingsError::new(&format!("{place}.{field}"), "nothing", "a value");
     }
@@ -87,6 +89,11 @@
     SettingsError::new(&place, &value, &expectation(text))
 }
 
+fn place_of(root: &str, keys: &[String]) -> String {
+    keys.iter()
+        .fold(root.to_owned(), |place, key| format!("{place}.{key}"))
+}
+
 fn missing_field(text: &str) -> Option<&str> {
     let rest = text.strip_prefix("missing field `")?;
     rest.split('`').next()
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,3 +2,4 @@
 
 mod report;
 mod settings;
+mod settings_edits;
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -1,6 +1,10 @@
 //! Checks the settings tree.
 
-use zinniadrift_core::settings::ServiceCatalog;
+use zinniadrift_core::ids::TargetId;
+use zinniadrift_core::settings::{
+    Explanation, MAX_DEPTH, MAX_DOCUMENT_BYTES, Node, Origin, POLICY_RANGES, Policies,
+    ServiceCatalog, SettingPath,
+};
 
 /// Declares one test per named document and the fault that it must produce.
 macro_rules! refuses {
@@ -23,6 +27,59 @@
         => "$.tree.policies.requests.queue_capacity";
     targets_without_service:
         r#"{"targets":{"a":{"address":"127.0.0.1:1","zone":"bern"}}}"# => "$.tree.targets";
+    share_above_one: r#"{"policies":{"flows":{"ejection_limit":1.5}}}"#
+        => "$.tree.policies.flows.ejection_limit";
+    capacity_of_zero: r#"{"policies":{"flows":{"hold_capacity":0}}}"#
+        => "$.tree.policies.flows.hold_capacity";
+    name_with_space: r#"{"nodes":{"a b":{}}}"# => "$.tree.nodes.a b";
+    service_of_root: r#"{"service":{"address":"127.0.0.1:1"}}"# => "$.tree.service";
+    service_at_port_zero: r#"{"nodes":{"a":{"service":{"address":"127.0.0.1:0"}}}}"#
+        => "$.tree.nodes.a.service.address";
+    no_address: r#"{"nodes":{"a":{"service":{}}}}"# => "$.tree.nodes.a.service.address";
+    shared_service_address: r#"{"nodes":{
+        "a":{"service":{"address":"127.0.0.1:1"}},"b":{"service":{"address":"127.0.0.1:1"}}}}"#
+        => "$.tree.nodes.b.service.address";
+    shared_target_address: r#"{"nodes":{"a":{"service":{"address":"127.0.0.1:1"},"targets":{
+        "x":{"address":"127.0.0.1:2","zone":"bern"},"y":{"address":"127.0.0.1:2","zone":"bern"}}}}}"#
+        => "$.tree.nodes.a.targets.y.address";
+    no_zone_name: r#"{"nodes":{"a":{"service":{"address":"127.0.0.1:1"},"targets":{
+        "x":{"address":"127.0.0.1:2","zone":""}}}}}"# => "$.tree.nodes.a.targets.x.zone";
+    no_slots: r#"{"nodes":{"a":{"service":{"address":"127.0.0.1:1"},"targets":{
+        "x":{"address":"127.0.0.1:2","zone":"bern","slots":0}}}}}"#
+        => "$.tree.nodes.a.targets.x.slots";
+}
+
+/// Guards against an operator having to find the faults of a file one by one.
+#[test]
+fn all_faults_at_once() {
+    let json = br#"{"policies":{"flows":{"ejection_limit":2,"rampp":1}},"nodes":{"a":{
+        "service":{"address":"nowhere"},
+        "targets":{
+            "x":{"address":"127.0.0.1:2","zone":"bern","weight":-1},
+            "y":{"zone":"bern"},
+            "y":{"address":"127.0.0.1:3","zone":"bern","slots":0}}}}}"#;
+    let faults = Node::parse(json).unwrap_err();
+    let shown: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    for expected in [
+        "$.nodes.a.targets.y: a second value is not accepted; expected each key once",
+        "$.nodes.a.service.address: \"nowhere\" is not accepted; expected an address and port, \
+         such as 127.0.0.1:80",
+        "$.nodes.a.targets.x.weight: -1 is not accepted; expected an integer from 0 to 65535",
+        "$.policies.flows.ejection_limit: 2 is not accepted; expected a number from 0 to 1",
+        "$.nodes.a.targets.y.slots: 0 is not accepted; expected an integer from 1 to 65535",
+    ] {
+        assert!(
+            shown.iter().any(|s| s == expected),
+            "{expected} in {shown:#?}"
+        );
+    }
+    assert!(
+        shown
+            .iter()
+            .any(|s| s.starts_with("$.policies.flows.rampp: an unknown field"))
+    );
+    // Only the faults above: nothing is reported twice or as a consequence of another fault.
+    assert_eq!(shown.len(), 6, "{shown:#?}");
 }
 
 #[test]
@@ -38,3 +95,104 @@
     assert_eq!(service.policies.flows.ramp_s, 9);
     assert!((service.policies.flows.publish_rate - 2.0).abs() < f64::EPSILON);
 }
+
+#[test]
+fn explanation_names_the_origin() {
+    let tree = Node::parse(
+        br#"{"policies":{"flows":{"ramp_s":9}},"nodes":{"a":{"nodes":{"b":{
+            "policies":{"flows":{"publish_rate":2.0}}}}}}}"#,
+    )
+    .unwrap();
+    let explain = |text: &str| Explanation::of(&tree, &text.parse::<SettingPath>().unwrap());
+    let origin = |text: &str| explain(text).unwrap().origin;
+    assert_eq!(
+        origin("a/b:policies.flows.publish_rate"),
+        Origin::Node("a/b".into())
+    );
+    assert_eq!(origin("a/b:policies.flows.ramp_s"), Origin::Node("".into()));
+    assert_eq!(origin("a/b:policies.flows.hold_capacity"), Origin::Default);
+    assert_eq!(explain("a/b:policies.flows.none"), None);
+    assert_eq!(explain("a/c:policies.flows.ramp_s"), None);
+}
+
+/// Guards against two targets that share an id, of which one would get the other's flows.
+#[test]
+fn colliding_ids_are_refused() {
+    let mut names = std::collections::HashMap::new();
+    let (first, second) = (0_u32..)
+        .find_map(|i| {
+            let name = format!("t{i}");
+            let other = names.insert(TargetId::from_name("a", &name), name.clone())?;
+            Some((other, name))
+        })
+        .unwrap();
+    let json = format!(
+        r#"{{"nodes":{{"a":{{"service":{{"address":"127.0.0.1:1"}},"targets":{{
+            "{first}":{{"address":"127.0.0.1:2","zone":"bern"}},
+            "{second}":{{"address":"127.0.0.1:3","zone":"bern"}}}}}}}}}}"#
+    );
+    let faults = Node::parse(json.as_bytes()).unwrap_err();
+    assert!(faults[0].expected.contains("another name"), "{}", faults[0]);
+}
+
+#[test]
+fn size_and_depth_are_limited() {
+    let large = format!("{{}}{}", " ".repeat(MAX_DOCUMENT_BYTES));
+    assert!(Node::parse(large.as_bytes()).is_err());
+    let nested = |depth| {
+        format!(
+            "{}{{}}{}",
+            r#"{"nodes":{"a":"#.repeat(depth),
+            "}}".repeat(depth)
+        )
+    };
+    assert!(Node::parse(nested(MAX_DEPTH).as_bytes()).is_ok());
+    assert!(Node::parse(nested(MAX_DEPTH + 1).as_bytes()).is_err());
+    assert!(Node::parse(nested(100_000).as_bytes()).is_err());
+}
+
+/// Guards against a policy without a range, and against defaults outside their range.
+#[test]
+fn every_numeric_policy_has_a_range() {
+    let defaults = serde_json::to_value(Policies::default()).unwrap();
+    let mut count = 0;
+    for (group, policies) in defaults.as_object().unwrap() {
+        for (name, value) in policies.as_object().unwrap() {
+            let Some(number) = value.as_f64() else {
+                continue;
+            };
+            let range = POLICY_RANGES
+                .iter()
+                .find(|r| r.group == group && r.name == name);
+            let range = range.unwrap_or_else(|| panic!("no range for {group}.{name}"));
+            assert!((range.min..=range.max).contains(&number), "{group}.{name}");
+            count += 1;
+        }
+    }
+    assert_eq!(count, POLICY_RANGES.len(), "a range without a policy");
+}
+
+/// Guards against a settings reference that misses a policy or names another default or range.
+#[test]
+fn reference_matches_the_types() {
+    let page = include_str!("../../docs/settings.md");
+    let defaults = serde_json::to_value(Policies::default()).unwrap();
+    for r in POLICY_RANGES {
+        let default = &defaults[r.group][r.name];
+        let row = format!(
+            "| `{}.{}` | {default} | {} to {} |",
+            r.group, r.name, r.min, r.max
+        );
+        assert!(page.contains(&row), "docs/settings.md lacks the row {row}");
+    }
+    let listed = page.lines().filter(|l| {
+        ["flows", "requests", "claims"]
+            .iter()
+            .any(|g| l.starts_with(&format!("| `{g}.")))
+    });
+    assert_eq!(
+        listed.count(),
+        POLICY_RANGES.len(),
+        "a row without a policy"
+    );
+}
