--- a/crates/zinniadrift-core/src/distribution/pulls.rs
+++ b/crates/zinniadrift-core/src/distribution/pulls.rs
@@ -9,6 +9,7 @@
 pub(super) struct Pulls {
     offers: BTreeMap<MemberId, Version>,
     pending: Option<Pull>,
+    highest_heard: Version,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -21,6 +22,7 @@
     /// Records the version of a peer.
     pub(super) fn offer(&mut self, from: MemberId, version: Version) {
         self.offers.insert(from, version);
+        self.highest_heard = self.highest_heard.max(version);
     }
 
     /// Forgets a peer that died or did not deliver; its next heartbeat offers its version again.
@@ -38,9 +40,9 @@
         self.offers.contains_key(&peer)
     }
 
-    /// Returns the highest version that a peer offers.
-    pub(super) fn best(&self) -> Version {
-        self.offers.values().copied().max().unwrap_or_default()
+    /// Returns the highest version that any peer ever told, also one that did not deliver it.
+    pub(super) fn highest_heard(&self) -> Version {
+        self.highest_heard
     }
 
     /// Returns the peer of a pull that took too long, and forgets its offer.
--- a/crates/zinniadrift-core/src/distribution/state_machine.rs
+++ b/crates/zinniadrift-core/src/distribution/state_machine.rs
@@ -136,8 +136,8 @@
             }
             DistributionEvent::Tick => {}
         }
-        self.end_wait(now, out);
         self.start_pull(now, out);
+        self.end_wait(now, out);
         self.start_call(now, out);
         self.start_status(now, out);
     }
@@ -149,7 +149,7 @@
             Call::Watching | Call::Reading => None,
         };
         let wait = self.waiting.as_ref().and(self.started).map(|t| {
-            if self.pulls.best() > self.waiting_version() {
+            if self.pulls.highest_heard() > self.waiting_version() {
                 t + self.cfg.join_limit
             } else {
                 t + self.cfg.join_wait
@@ -276,7 +276,7 @@
         let all_heard = has_peers && self.peers().all(|m| self.pulls.has_heard(m.id));
         let alone = !has_peers && !self.cfg.expects_peers;
         let heard = alone || all_heard || now >= started + self.cfg.join_wait;
-        let is_best = self.waiting_version() >= self.pulls.best();
+        let is_best = self.waiting_version() >= self.pulls.highest_heard();
         let expired = now >= started + self.cfg.join_limit;
         let ready = !self.cfg.refuse_lower || (heard && is_best) || expired;
         if let Some(new) = self.waiting.take_if(|_| ready) {
--- /dev/null
+++ b/tests/testsuite/platform_history.rs
@@ -0,0 +1,263 @@
+//! Checks histories of concurrent edits against the specification of a versioned register.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use parking_lot::Mutex;
+use proptest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use serde_json::json;
+use todc_utils::linearizability::WGLChecker;
+use todc_utils::linearizability::history::{Action, History};
+use todc_utils::specifications::Specification;
+
+use zinniadrift_core::settings::{Document, Node};
+use zinniadrift_platform::{
+    EditError, MemoryStore, RepositorySettings, SettingsRepository, StoreFaults, StoredSettings,
+};
+
+const SETTINGS: usize = 2;
+const OPERATIONS: usize = 4;
+
+type Values = [u64; SETTINGS];
+
+/// Is one operation with its result, which is filled in when it ends.
+#[derive(Clone, Debug)]
+enum Operation {
+    Read {
+        version: u64,
+        values: Values,
+    },
+    Edit {
+        setting: usize,
+        base: u64,
+        value: u64,
+        outcome: Outcome,
+    },
+}
+
+#[derive(Clone, Debug, Eq, PartialEq)]
+enum Outcome {
+    Pending,
+    Accepted(u64),
+    /// Another value of the same setting is stored.
+    Refused,
+    NotStored,
+    Unknown(Box<str>),
+}
+
+/// Holds values under a version that rises by one with each edit.
+struct VersionedRegister;
+
+impl Specification for VersionedRegister {
+    type State = (u64, Values);
+    type Operation = Operation;
+
+    fn init() -> Self::State {
+        (1, [0; SETTINGS])
+    }
+
+    fn apply(op: &Operation, state: &Self::State) -> (bool, Self::State) {
+        let (version, values) = *state;
+        match op {
+            Operation::Read {
+                version: v,
+                values: read,
+            } => ((*v, *read) == (version, values), *state),
+            Operation::Edit {
+                setting,
+                base,
+                value,
+                outcome,
+            } => {
+                let unchanged = values[*setting] == *base;
+                match outcome {
+                    Outcome::Accepted(v) => {
+                        let mut next = values;
+                        next[*setting] = *value;
+                        (unchanged && *v == version + 1, (version + 1, next))
+                    }
+                    Outcome::Refused => (!unchanged, *state),
+                    Outcome::NotStored => (true, *state),
+                    Outcome::Pending | Outcome::Unknown(_) => (false, *state),
+                }
+            }
+        }
+    }
+}
+
+type Log = Mutex<Vec<(usize, Action<Operation>)>>;
+
+/// Runs operators that read and edit at random under faults, and returns their history.
+fn run_history(seed: u64, operators: usize, read_back: bool) -> Vec<(usize, Action<Operation>)> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .start_paused(true)
+        .build()
+        .expect("a runtime");
+    runtime.block_on(async {
+        let store = Arc::new(MemoryStore::default());
+        let cfg = RepositorySettings {
+            read_back,
+            ..RepositorySettings::default()
+        };
+        let new = || SettingsRepository::with_settings(Arc::clone(&store), "granite", cfg.clone());
+        new()
+            .apply(tree([0; SETTINGS]))
+            .await
+            .expect("a first tree");
+        let log = Log::default();
+        let runs = (0..operators).map(|id| operate(id, seed, new(), &log));
+        tokio::select! {
+            _ = join_all(runs) => {}
+            () = disturb(seed, &store) => {}
+        }
+        store.set_faults(StoreFaults::default());
+        let last = new().read().await.expect("settings").document;
+        let mut history = log.into_inner();
+        for (_, action) in &mut history {
+            settle(action, &last);
+        }
+        history
+    })
+}
+
+async fn operate(
+    id: usize,
+    seed: u64,
+    repository: SettingsRepository<Arc<MemoryStore>>,
+    log: &Log,
+) {
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed ^ (id as u64 + 1) << 40);
+    for n in 0..OPERATIONS {
+        let pending = Operation::Read {
+            version: 0,
+            values: [0; SETTINGS],
+        };
+        let Ok(base) = read(id, &repository, pending, log).await else {
+            continue;
+        };
+        tokio::time::sleep(Duration::from_millis(rng.random_range(0..30))).await;
+        let setting = rng.random_range(0..SETTINGS);
+        let mut values = values_of(&base.document);
+        let edit = |outcome| Operation::Edit {
+            setting,
+            base: values_of(&base.document)[setting],
+            value: (id * OPERATIONS + n + 1) as u64,
+            outcome,
+        };
+        values[setting] = (id * OPERATIONS + n + 1) as u64;
+        log.lock().push((id, Action::Call(edit(Outcome::Pending))));
+        let outcome = match repository.submit(&base, &tree(values)).await {
+            Ok(done) => Outcome::Accepted(done.version.get()),
+            Err(EditError::Conflict { .. }) => Outcome::Refused,
+            Err(EditError::Unknown { edit_id, .. }) => Outcome::Unknown(edit_id),
+            Err(_) => Outcome::NotStored,
+        };
+        log.lock().push((id, Action::Response(edit(outcome))));
+    }
+}
+
+/// Reads the settings and logs the read, unless it failed.
+async fn read(
+    id: usize,
+    repository: &SettingsRepository<Arc<MemoryStore>>,
+    pending: Operation,
+    log: &Log,
+) -> Result<StoredSettings, EditError> {
+    let at = log.lock().len();
+    let result = repository.read().await;
+    if let Ok(stored) = &result {
+        let done = Operation::Read {
+            version: stored.document.version.get(),
+            values: values_of(&stored.document),
+        };
+        let mut log = log.lock();
+        log.insert(at, (id, Action::Call(pending)));
+        log.push((id, Action::Response(done)));
+    }
+    result
+}
+
+/// Changes the faults of the store at random until it is dropped.
+async fn disturb(seed: u64, store: &MemoryStore) {
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(!seed);
+    loop {
+        let down = rng.random_bool(0.1);
+        store.set_faults(StoreFaults {
+            down,
+            lose_answers: rng.random_range(0..2),
+            lose_requests: rng.random_range(0..2),
+            delay_ms: rng.random_range(0..20),
+            answer_delay_ms: rng.random_range(0..20),
+            ..StoreFaults::default()
+        });
+        // Some outages last longer than an editor's attempts.
+        let longest = if down { 8_000 } else { 200 };
+        tokio::time::sleep(Duration::from_millis(rng.random_range(5..longest))).await;
+    }
+}
+
+/// Replaces an unknown outcome by what the last document's history tells.
+fn settle(action: &mut Action<Operation>, last: &Document) {
+    if let Action::Response(Operation::Edit { outcome, .. }) = action
+        && let Outcome::Unknown(edit_id) = outcome
+    {
+        *outcome = match last.version_of_edit(edit_id) {
+            Some(version) => Outcome::Accepted(version.get()),
+            None => Outcome::NotStored,
+        };
+    }
+}
+
+fn tree(values: Values) -> Node {
+    let [ramp, rate] = values;
+    let flows = json!({"ramp_s": ramp, "publish_rate": rate});
+    serde_json::from_value(json!({"policies": {"flows": flows}})).expect("a tree")
+}
+
+fn values_of(document: &Document) -> Values {
+    let flows = &document.tree.policies["flows"];
+    ["ramp_s", "publish_rate"].map(|name| flows[name].as_u64().expect("a number"))
+}
+
+fn is_linearizable(history: Vec<(usize, Action<Operation>)>) -> bool {
+    history.is_empty()
+        || WGLChecker::<VersionedRegister>::is_linearizable(History::from_actions(history))
+}
+
+proptest! {
+    /// Guards against lost, doubled and falsely reported edits under any interleaving.
+    #[test]
+    fn concurrent_edits_are_linearizable(seed in any::<u64>(), operators in 1_usize..5) {
+        let history = run_history(seed, operators, true);
+        prop_assert!(is_linearizable(history.clone()), "seed {seed}: {history:#?}");
+    }
+}
+
+/// Shows that the check finds what the read-back of edit ids prevents.
+#[test]
+fn without_read_back_histories_are_wrong() {
+    let wrong = (0..100).filter(|seed| !is_linearizable(run_history(*seed, 3, false)));
+    assert!(wrong.count() > 0);
+}
+
+/// Guards against histories in which the interesting outcomes do not occur.
+#[test]
+fn histories_contain_every_outcome() {
+    let mut seen = [0; 3];
+    for (_, action) in (0..50).flat_map(|seed| run_history(seed, 3, true)) {
+        let Action::Response(Operation::Edit { outcome, .. }) = action else {
+            continue;
+        };
+        match outcome {
+            Outcome::Accepted(_) => seen[0] += 1,
+            Outcome::Refused => seen[1] += 1,
+            Outcome::NotStored => seen[2] += 1,
+            Outcome::Pending | Outcome::Unknown(_) => unreachable!("settled above"),
+        }
+    }
+    assert!(seen.iter().all(|count| *count > 0), "{seen:?}");
+}
