--- a/crates/zinniadrift-lab/src/experiments/config/mod.rs
+++ b/crates/zinniadrift-lab/src/experiments/config/mod.rs
@@ -17,7 +17,7 @@
 pub use report::ConfigReport;
 use simulation::Simulation;
 
-use super::MeasureLine;
+use super::{Experiment, MeasureLine};
 
 const MEASURE: &str = "config";
 const MEMBERS: [usize; 4] = [4, 8, 16, 32];
@@ -25,14 +25,18 @@
 /// Edits of one run of the sweep over sizes; large documents make each of them slow to simulate.
 const SWEEP_EDITS: u32 = 10;
 
-/// Lists the policies of the experiment.
+/// Is the experiment `config`.
 ///
 /// `unchecked` is `default` with the check of versions switched off; `poll` reads the platform every
 /// 5 s and puts in force whatever it gets.
-pub const CONFIG_POLICIES: &[&str] = &["default", "poll", "unchecked"];
+pub(super) const EXPERIMENT: Experiment = Experiment {
+    name: MEASURE,
+    policies: &["default", "poll", "unchecked"],
+    run: measure_config,
+};
 
 /// Runs the experiment with one policy on one seed.
-pub fn measure_config(policy: &str, seed: u64) -> Vec<MeasureLine> {
+fn measure_config(policy: &str, seed: u64) -> Vec<MeasureLine> {
     let Some(kind) = ConfigPolicy::from_name(policy) else {
         return Vec::new();
     };
--- a/crates/zinniadrift-lab/src/experiments/config/simulation.rs
+++ b/crates/zinniadrift-lab/src/experiments/config/simulation.rs
@@ -373,9 +373,11 @@
         group: "granite".into(),
         sender: u32::MAX,
         incarnation: u64::MAX,
+        time: u64::MAX,
         body: Some(v1::datagram::Body::SettingsNotice(v1::SettingsNotice {
             version: 1_000_000,
         })),
+        ..v1::Datagram::default()
     };
     HEADER_BYTES + datagram.encoded_len()
 }
--- a/crates/zinniadrift-lab/src/experiments/experiment.rs
+++ b/crates/zinniadrift-lab/src/experiments/experiment.rs
@@ -1,5 +1,4 @@
-use super::MeasureLine;
-use super::config::{CONFIG_POLICIES, measure_config};
+use super::{MeasureLine, balance, config, cost, flows};
 
 /// Is an experiment that `measure` can run by name.
 #[derive(Clone, Copy, Debug)]
@@ -13,8 +12,9 @@
 }
 
 /// Lists all experiments.
-pub const EXPERIMENTS: &[Experiment] = &[Experiment {
-    name: "config",
-    policies: CONFIG_POLICIES,
-    run: measure_config,
-}];
+pub const EXPERIMENTS: &[Experiment] = &[
+    flows::EXPERIMENT,
+    balance::EXPERIMENT,
+    cost::EXPERIMENT,
+    config::EXPERIMENT,
+];
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,10 @@
 //! Holds the integration tests, a module per topic.
 
 mod config;
+mod decoders;
+mod flows;
+mod flows_scenarios;
+mod flows_world;
 mod platform_edits;
 mod platform_history;
 mod report;
