--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,10 +1,15 @@
 //! Holds the integration tests, a module per topic.
 
+mod config;
 mod decoders;
 mod experiments;
 mod flows;
 mod flows_reports;
 mod flows_scenarios;
 mod flows_world;
+mod platform_edits;
+mod platform_history;
 mod report;
 mod settings;
+mod settings_distribution;
+mod settings_edits;
