Hand flows over on leave and run random schedules

A flow whose packets all came through one member was known to nobody else after that member left, and the next rebase misplaced it (guard test flows_known_to_leaver_only fails with handover off). A leaving member now passes the flows that it remembers to serving peers, one copy each.

Retrying the rebase from scratch was ruled out: a member in Defaulted has already used the new table.

--- /dev/null
+++ b/crates/zinniadrift-core/benches/packet.rs
@@ -0,0 +1,107 @@
+//! Measures the decision for one packet of a known and of a new flow.
+
+use std::hint::black_box;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::Duration;
+
+use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
+use zinniadrift_core::balancer::{Balancer, BalancerEvent, BalancerSettings};
+use zinniadrift_core::flow::{FlowKey, FlowPacket, PacketKind};
+use zinniadrift_core::ids::{MemberId, PacketToken, ServiceId, TargetId};
+use zinniadrift_core::settings::{Policies, Service, ServiceCatalog, Target, TargetState};
+use zinniadrift_core::units::{MonoTime, Version, Weight};
+
+/// Flows that the balancer remembers during the measurement.
+const FLOWS: u32 = 100_000;
+
+fn catalog() -> Arc<ServiceCatalog> {
+    let path = "granite/gradebook";
+    let targets = (0..15).map(|i| {
+        let name = format!("t{i}");
+        Target {
+            id: TargetId::from_name(path, &name),
+            name: name.as_str().into(),
+            address: ([127, 0, 0, 1], 80).into(),
+            zone: "lowell".into(),
+            weight: Weight::default(),
+            state: TargetState::Active,
+            slots: 2,
+        }
+    });
+    let service = Service {
+        id: ServiceId::from_name(path),
+        path: path.into(),
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 443),
+        targets: targets.collect(),
+        policies: Policies::default(),
+    };
+    Arc::new(ServiceCatalog {
+        version: Version::from(1),
+        services: vec![service],
+    })
+}
+
+fn packet(n: u32, kind: PacketKind) -> FlowPacket {
+    // Neighbouring numbers must not be neighbouring callers, as they would share cache lines.
+    let ip = Ipv4Addr::from_bits(n.wrapping_mul(2_654_435_761));
+    FlowPacket {
+        flow: FlowKey {
+            caller: SocketAddrV4::new(ip, 40_000),
+            service: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 443),
+        },
+        kind,
+        relayed: false,
+        token: PacketToken::from(u64::from(n)),
+    }
+}
+
+/// Returns a serving balancer without peers and the time.
+fn balancer(flows: u32) -> (Balancer, MonoTime) {
+    let mut out = Vec::new();
+    let mut core = Balancer::new(BalancerSettings {
+        member: MemberId::from_name("b1"),
+        name: "b1".into(),
+        ..BalancerSettings::default()
+    });
+    let mut now = MonoTime::from_millis(1);
+    core.handle(now, BalancerEvent::Settings(catalog()), &mut out);
+    for _ in 0..5 {
+        now = now + Duration::from_secs(1);
+        core.handle(now, BalancerEvent::Tick, &mut out);
+    }
+    for n in 0..flows {
+        core.on_packet(now, &packet(n, PacketKind::Open), &mut out);
+    }
+    (core, now)
+}
+
+fn known(c: &mut Criterion) {
+    let (mut core, now) = balancer(FLOWS);
+    let mut out = Vec::new();
+    let mut n = 0;
+    c.bench_function("known", |b| {
+        b.iter(|| {
+            n = (n + 1) % FLOWS;
+            let pkt = packet(n, PacketKind::Middle);
+            black_box(core.on_packet(now, &pkt, &mut out))
+        });
+    });
+}
+
+fn new(c: &mut Criterion) {
+    c.bench_function("new", |b| {
+        b.iter_batched_ref(
+            || (balancer(FLOWS), Vec::new()),
+            |((core, now), out)| {
+                for n in FLOWS..FLOWS + 1_000 {
+                    black_box(core.on_packet(*now, &packet(n, PacketKind::Open), out));
+                }
+            },
+            BatchSize::LargeInput,
+        );
+    });
+}
+
+criterion_group!(benches, known, new);
+criterion_main!(benches);
--- a/crates/zinniadrift-core/src/balancer/base_set.rs
+++ b/crates/zinniadrift-core/src/balancer/base_set.rs
@@ -12,10 +12,12 @@
     pub version: Version,
     /// The targets and their weights, sorted by id.
     pub targets: Vec<(TargetId, Weight)>,
+    /// The set before, if the sender of a snapshot is `Defaulted`: other members may still use it.
+    pub old: Vec<(TargetId, Weight)>,
 }
 
 impl BaseSet {
-    /// Returns a digest of the targets and weights; the version does not count.
+    /// Returns a digest of the targets and weights; the version and the old set do not count.
     pub fn digest(&self) -> u64 {
         let mut hash = Xxh3::new();
         for (target, weight) in &self.targets {
--- a/crates/zinniadrift-core/src/balancer/mechanisms.rs
+++ b/crates/zinniadrift-core/src/balancer/mechanisms.rs
@@ -11,6 +11,8 @@
     pub rebase_barrier: bool,
     /// Resynchronise after this process did not run for the dead timeout.
     pub pause_detection: bool,
+    /// Pass remembered flows on before leaving.
+    pub handover: bool,
     /// Reject settings of a lower version.
     pub version_check: bool,
 }
@@ -23,6 +25,7 @@
             relay_when_unsynchronised: true,
             rebase_barrier: true,
             pause_detection: true,
+            handover: true,
             version_check: true,
         }
     }
--- a/crates/zinniadrift-core/src/balancer/packet_path.rs
+++ b/crates/zinniadrift-core/src/balancer/packet_path.rs
@@ -20,6 +20,7 @@
         self.note_running(now, out);
         if let Stage::Leaving(leaving) = &mut self.stage {
             leaving.touch(now);
+            self.handover.reopen(now);
         }
         let verdict = self.decide(now, pkt);
         self.count(verdict);
@@ -173,7 +174,7 @@
     }
 
     /// Stores the entry of a flow that follows the base table, if there is room.
-    fn remember(&mut self, at: usize, entry: FlowEntry) {
+    pub(super) fn remember(&mut self, at: usize, entry: FlowEntry) {
         if self.services[at].flows.is_full() && !self.make_room(at) {
             return;
         }
--- a/crates/zinniadrift-core/src/balancer/peer_input.rs
+++ b/crates/zinniadrift-core/src/balancer/peer_input.rs
@@ -1,7 +1,7 @@
 use super::sync::Change;
 use super::{
-    Balancer, BalancerAction, BaseSet, PeerMessage, SnapshotFetch, SnapshotSource, SyncLoss,
-    TimelineEvent,
+    Balancer, BalancerAction, BaseSet, PeerMessage, RebasePhase, ServiceState, SnapshotFetch,
+    SnapshotSource, SyncLoss, TimelineEvent,
 };
 use crate::flow::Pin;
 use crate::ids::{Incarnation, MemberId};
@@ -30,6 +30,10 @@
                 self.on_snapshot_request(now, (from, id), index, out);
             }
             part @ PeerMessage::SnapshotPart { .. } => self.on_snapshot_part(now, from, part, out),
+            PeerMessage::Handover { number, pins } => {
+                self.on_handover(now, from, number, &pins, out);
+            }
+            PeerMessage::HandoverAck { number } => self.handover.acknowledge(now, from, number),
             PeerMessage::Goodbye => self.on_goodbye(from, out),
         }
     }
@@ -83,6 +87,26 @@
         }
         self.on_notice(from, version, out);
         self.compare_bases(now, from, out);
+        self.follow_defaulted(now, from, out);
+    }
+
+    /// Finds a peer that already uses a base set which this member neither uses nor moves to.
+    fn follow_defaulted(&mut self, now: MonoTime, from: MemberId, out: &mut Vec<BalancerAction>) {
+        let Some(peer) = self.peers.get(from).filter(|_| self.sync.is_done()) else {
+            return;
+        };
+        let unknown = |s: &ServiceState| {
+            let status = peer.rebase(s.id);
+            let status = status.filter(|r| r.phase == RebasePhase::Defaulted);
+            status.is_some_and(|r| {
+                let moves = s.rebase.as_ref().is_some_and(|own| own.digest == r.goal);
+                r.goal_version > s.base.version && r.goal != s.base_digest && !moves
+            })
+        };
+        if self.services.iter().any(unknown) {
+            self.sync.want_from(from, SyncLoss::BaseDiffers);
+            self.sync_changed(now, Change::Lost(SyncLoss::BaseDiffers), out);
+        }
     }
 
     /// Finds a peer that moved to another base set without this member.
@@ -169,7 +193,7 @@
         let mut pins: Vec<Pin> = self.services.iter().flat_map(|s| s.exceptions()).collect();
         pins.sort_unstable();
         let known = self.services.iter().filter(|s| !s.provisional);
-        let bases: Vec<BaseSet> = known.map(|s| s.base.clone()).collect();
+        let bases: Vec<BaseSet> = known.map(|s| s.base_for_snapshot()).collect();
         let marks = self.peers.marks();
         let last = self.publisher.last();
         SnapshotSource::new(now, request, last, &marks, &bases, &pins)
--- a/crates/zinniadrift-core/src/balancer/peer_message.rs
+++ b/crates/zinniadrift-core/src/balancer/peer_message.rs
@@ -66,6 +66,18 @@
         /// Some of the sender's base sets.
         bases: Vec<BaseSet>,
     },
+    /// Passes flows that follow the base table to one peer, from a member that leaves.
+    Handover {
+        /// The number within the sender's handover.
+        number: u64,
+        /// The flows, at most [`MAX_PINS`]; their times have no meaning.
+        pins: Vec<Pin>,
+    },
+    /// Confirms that the receiver stored flows of a leaving member.
+    HandoverAck {
+        /// The confirmed message.
+        number: u64,
+    },
     /// Tells that the sender stops.
     Goodbye,
 }
@@ -84,13 +96,13 @@
                 let text = h.name.len() + AsRef::<str>::as_ref(&h.zone).len();
                 text + 50 + h.rebases.len() * STATUS_BYTES
             }
-            Self::Publish { pins, .. } => 4 + pins_len(pins),
-            Self::PublishAck { .. } | Self::SettingsNotice { .. } => 4,
+            Self::Publish { pins, .. } | Self::Handover { pins, .. } => 4 + pins_len(pins),
+            Self::PublishAck { .. } | Self::HandoverAck { .. } | Self::SettingsNotice { .. } => 4,
             Self::SnapshotRequest { .. } => 8,
             Self::SnapshotPart {
                 pins, bases, marks, ..
             } => {
-                let targets: usize = bases.iter().map(|b| b.targets.len()).sum();
+                let targets: usize = bases.iter().map(|b| b.targets.len() + b.old.len()).sum();
                 16 + pins_len(pins)
                     + marks.len() * MARK_BYTES
                     + bases.len() * 12
--- a/crates/zinniadrift-core/src/balancer/rebase.rs
+++ b/crates/zinniadrift-core/src/balancer/rebase.rs
@@ -11,6 +11,7 @@
     pub(super) table: Arc<OwnerTable>,
     /// The base table at the start; buckets in which it differs from the goal's are moved.
     pub(super) old: Arc<OwnerTable>,
+    pub(super) old_set: BaseSet,
     pub(super) phase: RebasePhase,
     /// The position in the flow table, or `None` when the pass is complete.
     pub(super) cursor: Option<usize>,
@@ -20,12 +21,18 @@
 
 impl Rebase {
     /// Returns a rebase in its first phase.
-    pub(super) fn new(goal: BaseSet, table: Arc<OwnerTable>, old: Arc<OwnerTable>) -> Self {
+    pub(super) fn new(
+        goal: BaseSet,
+        table: Arc<OwnerTable>,
+        old_set: BaseSet,
+        old: Arc<OwnerTable>,
+    ) -> Self {
         Self {
             digest: goal.digest(),
             goal,
             table,
             old,
+            old_set,
             phase: RebasePhase::Publishing,
             cursor: Some(0),
             last_publication: 0,
--- a/crates/zinniadrift-core/src/balancer/rebase_step.rs
+++ b/crates/zinniadrift-core/src/balancer/rebase_step.rs
@@ -85,6 +85,11 @@
     /// Tells whether a live peer can no longer reach the goal, so that no member defaulted to it.
     fn is_abandoned(&self, at: usize) -> bool {
         let s = &self.services[at];
+        let goal = s.rebase.as_ref().map(|r| r.digest);
+        let defaulted = |p: &Peer| self.view(p, s).is_some_and(|v| Some(v.base) == goal);
+        if self.peers.live().any(defaulted) {
+            return false;
+        }
         self.peers.live().any(|p| {
             let view = self.view(p, s);
             view.is_some_and(|v| {
@@ -117,7 +122,9 @@
         };
         let reached = |p: &Peer| {
             let view = self.view(p, s);
-            view.is_some_and(|v| v.goal == r.digest && v.phase >= phase)
+            // A peer that settled earlier may be moving to the next set already.
+            let beyond = |v: &RebaseStatus| v.base == r.digest;
+            view.is_some_and(|v| beyond(&v) || (v.goal == r.digest && v.phase >= phase))
         };
         self.peers.live().all(reached)
     }
--- a/crates/zinniadrift-core/src/balancer/service_state.rs
+++ b/crates/zinniadrift-core/src/balancer/service_state.rs
@@ -8,9 +8,9 @@
 use super::placed::{Cause, Placed};
 use super::{BaseSet, MAX_PINS, OwnerTable, Rebase, RebasePhase, RebaseStatus, TargetSlots};
 use crate::flow::{FlowEntry, FlowKey, FlowTable, Pin};
-use crate::ids::ServiceId;
+use crate::ids::{ServiceId, TargetId};
 use crate::settings::{FlowPolicies, Service};
-use crate::units::{HybridClock, MonoTime, Version};
+use crate::units::{HybridClock, MonoTime, Version, Weight};
 
 /// Flows by which a target may exceed the mean in any case, so that small numbers do not count
 /// as imbalance.
@@ -39,6 +39,8 @@
     pub(super) provisional: bool,
     /// Whether flows that the adopted base set does not reproduce may have to be published.
     pub(super) review: bool,
+    /// The position of the handover in the flow table.
+    pub(super) handover_at: usize,
 }
 
 impl ServiceState {
@@ -59,6 +61,7 @@
             rebase: None,
             provisional: true,
             review: false,
+            handover_at: 0,
         };
         state.configure(now, service, version, false);
         state.use_active_as_base();
@@ -80,6 +83,7 @@
             service: s.id,
             version,
             targets,
+            old: Vec::new(),
         };
         let digest = set.digest();
         if digest != self.active_digest || self.active.service != s.id {
@@ -98,8 +102,9 @@
     }
 
     /// Replaces the base set by one from a peer.
-    pub(super) fn adopt(&mut self, base: BaseSet) {
+    pub(super) fn adopt(&mut self, mut base: BaseSet) {
         self.provisional = false;
+        let old = std::mem::take(&mut base.old);
         let digest = base.digest();
         if digest != self.base_digest {
             self.base_table = Arc::new(OwnerTable::build(&base, &mut self.targets));
@@ -108,6 +113,33 @@
             self.review = true;
         }
         self.base = base;
+        if !old.is_empty() {
+            self.join_rebase(old);
+        }
+    }
+
+    /// Joins a rebase whose members already use the new base set, which is this member's now.
+    fn join_rebase(&mut self, old: Vec<(TargetId, Weight)>) {
+        let old_set = BaseSet {
+            service: self.id,
+            targets: old,
+            ..BaseSet::default()
+        };
+        let old = Arc::new(OwnerTable::build(&old_set, &mut self.targets));
+        let (goal, table) = (self.base.clone(), Arc::clone(&self.base_table));
+        let mut rebase = Rebase::new(goal, table, old_set, old);
+        rebase.phase = RebasePhase::Defaulted;
+        self.rebase = Some(rebase);
+    }
+
+    /// Returns the base set for a snapshot.
+    pub(super) fn base_for_snapshot(&self) -> BaseSet {
+        let mut set = self.base.clone();
+        let defaulted = self.rebase.as_ref();
+        if let Some(r) = defaulted.filter(|r| r.phase == RebasePhase::Defaulted) {
+            set.old.clone_from(&r.old_set.targets);
+        }
+        set
     }
 
     /// Starts to move the base set to the active one.
@@ -115,6 +147,7 @@
         self.rebase = Some(Rebase::new(
             self.active.clone(),
             Arc::clone(&self.active_table),
+            self.base.clone(),
             Arc::clone(&self.base_table),
         ));
     }
--- a/crates/zinniadrift-core/src/balancer/settings.rs
+++ b/crates/zinniadrift-core/src/balancer/settings.rs
@@ -33,6 +33,8 @@
     pub linger: Duration,
     /// Bytes per second that a rebase may send to all peers together.
     pub rebase_bytes_per_s: f64,
+    /// Bytes per second at which a leaving member passes on the flows that it remembers.
+    pub handover_bytes_per_s: f64,
     /// Switches for tests.
     pub mechanisms: Mechanisms,
 }
@@ -53,6 +55,7 @@
             drain_deadline: Duration::from_secs(60),
             linger: Duration::from_secs(60),
             rebase_bytes_per_s: 2_000.0,
+            handover_bytes_per_s: 250_000.0,
             mechanisms: Mechanisms::default(),
         }
     }
--- a/crates/zinniadrift-core/src/balancer/state_machine.rs
+++ b/crates/zinniadrift-core/src/balancer/state_machine.rs
@@ -6,8 +6,9 @@
 use rand_xoshiro::Xoshiro256PlusPlus;
 
 use super::{
-    BalancerAction, BalancerEvent, BalancerSettings, BaseSet, Counters, Held, Outbox, PeerMessage,
-    Publisher, RebasePhase, ServiceState, SnapshotSource, Sync, TargetReport, TimelineEvent,
+    BalancerAction, BalancerEvent, BalancerSettings, BaseSet, Counters, Handover, Held, Outbox,
+    PeerMessage, Publisher, RebasePhase, ServiceState, SnapshotSource, Sync, TargetReport,
+    TimelineEvent,
 };
 use crate::ids::{MemberId, ServiceId};
 use crate::membership::{LifeCycle, MemberState, Peers, Stage};
@@ -29,6 +30,7 @@
     pub(super) peers: Peers,
     pub(super) publisher: Publisher,
     pub(super) held: Held,
+    pub(super) handover: Handover,
     pub(super) sync: Sync,
     pub(super) stage: Stage,
     pub(super) clock: HybridClock,
@@ -51,6 +53,7 @@
 impl Balancer {
     /// Returns a balancer that has no settings yet.
     pub fn new(cfg: BalancerSettings) -> Self {
+        let handover = Handover::new(cfg.handover_bytes_per_s);
         let rebase_bytes = TokenBucket::new(cfg.rebase_bytes_per_s, 1.0);
         Self {
             rng: Xoshiro256PlusPlus::seed_from_u64(cfg.seed),
@@ -63,6 +66,7 @@
             peers: Peers::default(),
             publisher: Publisher::default(),
             held: Held::default(),
+            handover,
             sync: Sync::new(MonoTime::default()),
             stage: Stage::Starting(LifeCycle::new()),
             clock: HybridClock::default(),
@@ -175,6 +179,7 @@
             self.sync.next_deadline(&self.peers),
             self.peers.next_expiry(self.cfg.dead_timeout),
             self.leave_at(),
+            self.handover_due(),
             rebasing.then_some(self.rebase_due),
         ];
         deadlines.into_iter().flatten().min()
--- a/crates/zinniadrift-core/src/balancer/sync.rs
+++ b/crates/zinniadrift-core/src/balancer/sync.rs
@@ -9,6 +9,10 @@
 /// the time after which the publisher releases the packets that wait for it.
 const GAP_TIMEOUT: Duration = Duration::from_millis(20);
 
+/// The time between two fetches. A snapshot that does not close a gap would otherwise be followed by
+/// the next one at once.
+const FETCH_SPACING: Duration = Duration::from_millis(100);
+
 /// Tells whether this member holds all publications, and fetches snapshots until it does.
 #[derive(Clone, Debug)]
 pub(super) struct Sync {
@@ -20,6 +24,8 @@
     wants_from: Option<MemberId>,
     loss: SyncLoss,
     fetches: u32,
+    /// The first time at which another fetch may start.
+    pause_until: MonoTime,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -42,6 +48,7 @@
             wants_from: None,
             loss: SyncLoss::Joined,
             fetches: 0,
+            pause_until: MonoTime::default(),
         }
     }
 
@@ -65,6 +72,7 @@
         *self = Self {
             loss,
             fetches: self.fetches,
+            pause_until: self.pause_until,
             ..Self::new(until)
         };
     }
@@ -125,10 +133,9 @@
         if !fetch.is_complete() {
             return (new, None);
         }
-        if self.wants_from.is_none_or(|p| p == from) {
-            self.wants_snapshot = false;
-            self.wants_from = None;
-        }
+        self.wants_snapshot = false;
+        self.wants_from = None;
+        self.pause_until = now + FETCH_SPACING;
         outbox.counters.snapshots_received += 1;
         (new, self.fetch.take())
     }
@@ -137,7 +144,10 @@
     pub(super) fn next_deadline(&self, peers: &Peers) -> Option<MonoTime> {
         match self.stage {
             Stage::Contacting { until } => Some(until),
-            Stage::Fetching => self.fetch.as_ref().map(SnapshotFetch::due),
+            Stage::Fetching => {
+                let due = self.fetch.as_ref().map(SnapshotFetch::due);
+                due.or(Some(self.pause_until))
+            }
             Stage::Done => peers.behind_since().map(|t| t + GAP_TIMEOUT),
         }
     }
@@ -160,14 +170,20 @@
         }
         let asked = self.fetch.as_ref().map(|f| f.peer);
         let alive = asked.and_then(|p| peers.get(p)).is_some_and(|p| p.alive);
+        let idle = self.fetch.is_none();
+        if idle && now < self.pause_until {
+            return None;
+        }
         if !alive || self.fetch.as_ref().is_some_and(SnapshotFetch::has_failed) {
             self.fetch = self.choose(this.1, peers, asked).map(|peer| {
                 self.fetches += 1;
                 SnapshotFetch::new(now, peer, self.fetches)
             });
         }
-        if let Some(fetch) = &mut self.fetch {
-            fetch.poll(now, outbox);
+        match &mut self.fetch {
+            Some(fetch) => fetch.poll(now, outbox),
+            // Nobody can be asked yet.
+            None => self.pause_until = now + FETCH_SPACING,
         }
         None
     }
--- a/crates/zinniadrift-core/src/balancer/upkeep.rs
+++ b/crates/zinniadrift-core/src/balancer/upkeep.rs
@@ -28,6 +28,7 @@
         self.poll_sync(now, out);
         self.poll_publisher(now, out);
         self.poll_rebases(now, out);
+        self.poll_handover(now, out);
         self.poll_stage(now, out);
         if self.heartbeat_due <= now {
             self.beat(now, out);
@@ -85,7 +86,8 @@
         };
         let quiet = leaving.quiet_at(self.cfg.drain_quiet);
         // A member with flows that the others do not know yet stays as long as it may.
-        let needed = self.services.iter().any(|s| s.rebase.is_some());
+        let rebasing = self.services.iter().any(|s| s.rebase.is_some());
+        let needed = rebasing || self.handover_due().is_some();
         Some(if needed {
             leaving.deadline()
         } else {
@@ -93,6 +95,16 @@
         })
     }
 
+    /// Returns the time at which a leaving member passes on more flows.
+    pub(super) fn handover_due(&self) -> Option<MonoTime> {
+        let hands_over = self.state() == MemberState::Leaving && self.cfg.mechanisms.handover;
+        if hands_over {
+            self.handover.due()
+        } else {
+            None
+        }
+    }
+
     fn poll_sync(&mut self, now: MonoTime, out: &mut Vec<BalancerAction>) {
         let this = (self.cfg.member, &self.cfg.zone);
         let mut outbox = Self::outbox(&mut self.counters, out);
--- a/crates/zinniadrift-core/src/flow/flow_entry.rs
+++ b/crates/zinniadrift-core/src/flow/flow_entry.rs
@@ -9,6 +9,7 @@
 const PINNED: u8 = 1;
 const PENDING: u8 = 2;
 const CLOSING: u8 = 4;
+const HANDED_OVER: u8 = 8;
 
 /// Remembers one flow in 24 bytes.
 #[derive(Clone, Copy, Debug)]
@@ -69,6 +70,16 @@
         self.flags & CLOSING != 0
     }
 
+    /// Tells whether a leaving member has passed the flow on.
+    pub(crate) fn is_handed_over(&self) -> bool {
+        self.flags & HANDED_OVER != 0
+    }
+
+    /// Records that a leaving member has passed the flow on.
+    pub(crate) fn set_handed_over(&mut self) {
+        self.flags |= HANDED_OVER;
+    }
+
     /// Assigns the flow to a target by a publication.
     pub(crate) fn pin(&mut self, target: u16, time: HybridTime) {
         self.target = target;
--- a/crates/zinniadrift-lab/src/harness/group.rs
+++ b/crates/zinniadrift-lab/src/harness/group.rs
@@ -21,6 +21,9 @@
 /// Arrivals that a paused member's socket buffer keeps.
 const BACKLOG_CAPACITY: usize = 1_000;
 
+/// Ticks at one virtual time from which on a member is taken to make no progress.
+const MAX_TICKS: u32 = 10_000;
+
 /// Moves messages and packets between balancers under a virtual clock.
 #[derive(Debug)]
 pub struct Group {
@@ -153,12 +156,22 @@
 
     /// Advances the clock to `end` and runs everything that falls due.
     pub fn run_until(&mut self, end: MonoTime) {
+        let mut ticks = (self.now, 0);
         loop {
             let tick = self.next_tick();
             let arrival = self.queue.peek().map(|s| s.at);
             match (tick, arrival) {
                 (Some((at, member)), a) if at <= end && a.is_none_or(|a| at < a) => {
                     self.now = self.now.max(at);
+                    ticks = if ticks.0 == self.now {
+                        (self.now, ticks.1 + 1)
+                    } else {
+                        (self.now, 0)
+                    };
+                    assert!(
+                        ticks.1 < MAX_TICKS,
+                        "member {member} asks for ticks without progress"
+                    );
                     self.event(member, BalancerEvent::Tick);
                 }
                 (_, Some(a)) if a <= end => {
--- a/tests/testsuite/flows.rs
+++ b/tests/testsuite/flows.rs
@@ -12,6 +12,7 @@
     relay_when_unsynchronised: true,
     rebase_barrier: true,
     pause_detection: true,
+    handover: true,
     version_check: true,
 };
 
@@ -39,6 +40,7 @@
     joiner_without_pins: join_after_drain needs relay_when_unsynchronised;
     base_changed_unevenly: uneven_add needs rebase_barrier;
     stale_after_pause: pause_during_drain needs pause_detection;
+    flows_known_to_leaver_only: leave_before_add needs handover;
     older_settings_accepted: stale_settings needs version_check;
 }
 
@@ -135,6 +137,18 @@
     tally.broken
 }
 
+/// Only a member that leaves knows some flows, and a later edit moves their buckets.
+fn leave_before_add(seed: u64, mechanisms: Mechanisms) -> usize {
+    let mut w = World::settled(seed, mechanisms, 4);
+    w.open("gradebook", 300, 3);
+    w.group.leave(3);
+    w.advance(8_000);
+    w.want("gradebook", "t9", Some(Wanted::ACTIVE));
+    w.edit_all(Duration::ZERO);
+    w.advance(60_000);
+    broken(&mut w)
+}
+
 /// A platform store that returns an older state makes a drained target take flows again.
 fn stale_settings(seed: u64, mechanisms: Mechanisms) -> usize {
     let mut w = World::settled(seed, mechanisms, 4);
--- a/tests/testsuite/flows_world.rs
+++ b/tests/testsuite/flows_world.rs
@@ -137,6 +137,10 @@
         })
     }
 
+    pub(crate) fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Gives a new settings version to all running members, each one `spread` after the previous.
     pub(crate) fn edit_all(&mut self, spread: Duration) {
         let catalog = self.edit();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,5 +2,6 @@
 
 mod flows;
 mod flows_scenarios;
+mod flows_schedules;
 mod flows_world;
 mod settings;
