--- a/crates/zinniadrift-core/src/balancer/target_slot.rs
+++ b/crates/zinniadrift-core/src/balancer/target_slot.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use super::RecentPlacements;
 use crate::ids::TargetId;
 use crate::units::MonoTime;
 
@@ -18,6 +19,12 @@
     /// The time at which the target began to ramp up.
     pub(super) ramp_from: Option<MonoTime>,
     pub(super) reported_at: Option<MonoTime>,
+    /// The flows of the last report.
+    pub(super) reported: f64,
+    /// Whether the last report contradicts the flows that this member knows.
+    pub(super) misreports: bool,
+    /// The placements that the next report may not contain.
+    pub(super) recent: RecentPlacements,
     /// The last report plus the placements since, scaled by the number of members.
     pub(super) load: f64,
 }
@@ -34,6 +41,9 @@
             ejected: false,
             ramp_from: None,
             reported_at: None,
+            reported: 0.0,
+            misreports: false,
+            recent: RecentPlacements::default(),
             load: 0.0,
         }
     }
--- a/crates/zinniadrift-lab/src/lib.rs
+++ b/crates/zinniadrift-lab/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod doubles;
 pub mod experiments;
 pub mod harness;
+pub mod report;
