--- a/crates/zinniadrift-proto/src/datagram.rs
+++ b/crates/zinniadrift-proto/src/datagram.rs
@@ -64,6 +64,11 @@
                 index: r.index,
             },
             Body::SnapshotPart(p) => p.try_into()?,
+            Body::Handover(h) => PeerMessage::Handover {
+                number: h.number,
+                pins: ungroup_pins(h.groups)?,
+            },
+            Body::HandoverAck(a) => PeerMessage::HandoverAck { number: a.number },
             Body::Goodbye(_) => PeerMessage::Goodbye,
         })
     }
@@ -102,6 +107,11 @@
                 bases: bases.into_iter().map(Into::into).collect(),
                 marks: marks.into_iter().map(Into::into).collect(),
             }),
+            PeerMessage::Handover { number, pins } => Self::Handover(v1::Handover {
+                number,
+                groups: group_pins(&pins),
+            }),
+            PeerMessage::HandoverAck { number } => Self::HandoverAck(v1::HandoverAck { number }),
             PeerMessage::Goodbye => Self::Goodbye(v1::Goodbye {}),
         }
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod flows;
 mod flows_reports;
 mod flows_scenarios;
+mod flows_schedules;
 mod flows_world;
 mod platform_edits;
 mod platform_history;
