--- a/crates/zinniadrift-core/src/settings/checker.rs
+++ b/crates/zinniadrift-core/src/settings/checker.rs
@@ -117,7 +117,10 @@
         let is_sound = shaped.faults.is_empty();
         self.faults.extend(shaped.faults);
         let ranges = PolicyRange::check(&node.policies, at.json_path);
-        self.faults.extend(ranges);
+        let new = ranges
+            .into_iter()
+            .filter(|f| !shaped.dropped.contains(&*f.path));
+        self.faults.extend(new);
         match shaped.json {
             _ if is_sound => node.policies.clone(),
             Value::Object(map) => map,
--- a/crates/zinniadrift-ctl/src/cmd/command.rs
+++ b/crates/zinniadrift-ctl/src/cmd/command.rs
@@ -60,7 +60,10 @@
 pub(crate) fn usage() -> String {
     let commands: String = COMMANDS
         .iter()
-        .map(|c| format!("{} {}\n    {}\n", c.name, c.arguments, c.about))
+        .map(|c| {
+            let synopsis = format!("{} {}", c.name, c.arguments);
+            format!("{}\n    {}\n", synopsis.trim_end(), c.about)
+        })
         .collect();
     format!(
         "Reads and edits the settings tree in the platform.\n\n\
--- a/crates/zinniadrift-ctl/src/cmd/diff.rs
+++ b/crates/zinniadrift-ctl/src/cmd/diff.rs
@@ -31,7 +31,10 @@
             println!("{change}");
         }
         let count = changes.len();
-        println!("{count} settings differ from version {}", stored.version);
+        println!(
+            "settings that differ from version {}: {count}",
+            stored.version
+        );
         Ok(())
     })
 }
--- a/crates/zinniadrift-ctl/src/ctl_error.rs
+++ b/crates/zinniadrift-ctl/src/ctl_error.rs
@@ -17,7 +17,7 @@
     },
     #[snafu(display("cannot start: {source}"))]
     Start { source: std::io::Error },
-    #[snafu(display("{} faults, nothing was written:{}", faults.len(), lines(path, faults)))]
+    #[snafu(display("nothing was written; faults: {}{}", faults.len(), lines(path, faults)))]
     InvalidFile {
         path: Box<str>,
         faults: Vec<SettingsError>,
--- a/crates/zinniadrift-platform/src/edit_error.rs
+++ b/crates/zinniadrift-platform/src/edit_error.rs
@@ -12,7 +12,7 @@
 #[derive(Debug, Snafu)]
 pub enum EditError {
     /// The tree does not pass its checks; nothing was written.
-    #[snafu(display("{} faults in the settings:{}", faults.len(), lines(faults)))]
+    #[snafu(display("nothing was written; faults: {}{}", faults.len(), lines(faults)))]
     Invalid {
         /// Every fault found.
         faults: Vec<SettingsError>,
--- a/tests/testsuite/settings.rs
+++ b/tests/testsuite/settings.rs
@@ -52,7 +52,7 @@
 /// Guards against an operator having to find the faults of a file one by one.
 #[test]
 fn all_faults_at_once() {
-    let json = br#"{"policies":{"flows":{"ejection_limit":2,"rampp":1}},"nodes":{"a":{
+    let json = br#"{"policies":{"flows":{"ejection_limit":2,"ramp_s":-1,"rampp":1}},"nodes":{"a":{
         "service":{"address":"nowhere"},
         "targets":{
             "x":{"address":"127.0.0.1:2","zone":"bern","weight":-1},
@@ -65,6 +65,7 @@
         "$.nodes.a.service.address: \"nowhere\" is not accepted; expected an address and port, \
          such as 127.0.0.1:80",
         "$.nodes.a.targets.x.weight: -1 is not accepted; expected an integer from 0 to 65535",
+        "$.policies.flows.ramp_s: -1 is not accepted; expected an integer of at least 0",
         "$.policies.flows.ejection_limit: 2 is not accepted; expected a number from 0 to 1",
         "$.nodes.a.targets.y.slots: 0 is not accepted; expected an integer from 1 to 65535",
     ] {
@@ -79,7 +80,7 @@
             .any(|s| s.starts_with("$.policies.flows.rampp: an unknown field"))
     );
     // Only the faults above: nothing is reported twice or as a consequence of another fault.
-    assert_eq!(shown.len(), 6, "{shown:#?}");
+    assert_eq!(shown.len(), 7, "{shown:#?}");
 }
 
 #[test]
