--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,7 +2,9 @@
 
 mod config;
 mod decoders;
+mod experiments;
 mod flows;
+mod flows_reports;
 mod flows_scenarios;
 mod flows_world;
 mod platform_edits;
