Put off pulls of faulty documents and back off failed status writes

A daemon older than its peers would have pulled a document that it cannot read at each heartbeat, and in an outage each daemon repeated its status write every 2 s. Both now wait up to 30 s; the first answered call after an outage causes a status write anyway.

--- a/crates/zinniadrift-core/src/distribution/pulls.rs
+++ b/crates/zinniadrift-core/src/distribution/pulls.rs
@@ -10,6 +10,8 @@
     offers: BTreeMap<MemberId, Version>,
     pending: Option<Pull>,
     highest_heard: Version,
+    /// A version whose document has faults, and the time until which it is not pulled again.
+    faulty: Option<(Version, MonoTime)>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -36,6 +38,12 @@
         self.pending = self.pending.filter(|p| p.from != from);
     }
 
+    /// Puts off pulls of the version that `from` offers, because its document has faults.
+    pub(super) fn put_off(&mut self, from: MemberId, until: MonoTime) {
+        let version = self.offers.get(&from);
+        self.faulty = version.map(|v| (*v, until)).or(self.faulty);
+    }
+
     pub(super) fn has_heard(&self, peer: MemberId) -> bool {
         self.offers.contains_key(&peer)
     }
@@ -63,7 +71,9 @@
         if self.pending.is_some() {
             return None;
         }
-        let above = self.offers.iter().filter(|(_, v)| **v > held);
+        let put_off = self.faulty.filter(|(_, until)| now < *until);
+        let is_wanted = |v: Version| v > held && put_off.is_none_or(|(faulty, _)| v != faulty);
+        let above = self.offers.iter().filter(|(_, v)| is_wanted(**v));
         let (from, _) = above.max_by_key(|(id, v)| (**v, is_near(**id), **id))?;
         let from = *from;
         let until = now + timeout;
--- a/crates/zinniadrift-core/src/distribution/state_machine.rs
+++ b/crates/zinniadrift-core/src/distribution/state_machine.rs
@@ -36,6 +36,7 @@
     budget: CallBudget,
     status_due: Option<MonoTime>,
     status_written: Option<MonoTime>,
+    status_failures: u32,
     rng: Xoshiro256PlusPlus,
     counters: DistributionCounters,
 }
@@ -77,6 +78,7 @@
             budget,
             status_due: None,
             status_written: None,
+            status_failures: 0,
             rng,
             counters: DistributionCounters::default(),
         };
@@ -128,12 +130,8 @@
                 self.take_pulled(now, from, document, out);
             }
             DistributionEvent::Members(members) => self.set_members(members),
-            DistributionEvent::StatusWritten { ok: true } => {}
-            DistributionEvent::StatusWritten { ok: false } => {
-                self.counters.platform_failures += 1;
-                let delay = self.jitter(self.cfg.status_interval * 2);
-                self.status_due = Some(now + delay);
-            }
+            DistributionEvent::StatusWritten { ok: true } => self.status_failures = 0,
+            DistributionEvent::StatusWritten { ok: false } => self.retry_status(now),
             DistributionEvent::Tick => {}
         }
         self.start_pull(now, out);
@@ -219,9 +217,14 @@
         out: &mut Vec<DistributionAction>,
     ) {
         let held = self.version().max(self.waiting_version());
+        let invalid = self.counters.invalid_documents;
         if let Some(document) = document {
             self.offer(now, document, Source::Peer, out);
         }
+        if self.counters.invalid_documents > invalid {
+            // The peer's heartbeats would otherwise cause a pull each second.
+            self.pulls.put_off(from, now + self.cfg.poll_interval);
+        }
         if self.version().max(self.waiting_version()) > held {
             self.pulls.finish(from);
         } else {
@@ -355,6 +358,16 @@
         self.status_due = Some(earliest);
     }
 
+    /// Plans the next attempt at a failed write of the status, up to a poll interval later: after an
+    /// outage, the first answered call causes a write anyway.
+    fn retry_status(&mut self, now: MonoTime) {
+        self.counters.platform_failures += 1;
+        self.status_failures += 1;
+        let delay = self.cfg.status_interval * 2_u32.saturating_pow(self.status_failures.min(16));
+        let delay = self.jitter(delay.min(self.cfg.poll_interval));
+        self.status_due = Some(now + delay);
+    }
+
     fn start_status(&mut self, now: MonoTime, out: &mut Vec<DistributionAction>) {
         if self.status_due.is_none_or(|due| now < due) {
             return;
--- a/tests/testsuite/settings_distribution.rs
+++ b/tests/testsuite/settings_distribution.rs
@@ -186,6 +186,38 @@
     assert!(driver.pulls_from("b"));
 }
 
+/// Guards against a pull at each heartbeat of a peer whose document this daemon cannot read.
+#[test]
+fn faulty_document_is_not_pulled_again_at_once() {
+    let mut driver = Driver::new(&DistributionSettings::default());
+    driver.give(platform(1));
+    driver.give(offered("a", 2));
+    driver.give(DistributionEvent::PeerDocument {
+        from: MemberId::from_name("a"),
+        document: Some(Bytes::from_static(b"{}")),
+    });
+    driver.give(offered("a", 2));
+    assert!(!driver.pulls_from("a"));
+    driver.give(offered("a", 3));
+    assert!(driver.pulls_from("a"));
+}
+
+/// Guards against status writes of all daemons that load a platform in an outage.
+#[test]
+fn failed_status_writes_become_rare() {
+    let mut driver = Driver::new(&DistributionSettings::default());
+    driver.give(platform(1));
+    let mut writes = 0;
+    for _ in 0..120 {
+        if driver.out.contains(&DistributionAction::WriteStatus) {
+            writes += 1;
+            driver.give(DistributionEvent::StatusWritten { ok: false });
+        }
+        driver.wait(1_000);
+    }
+    assert!((2..=12).contains(&writes), "{writes} writes in two minutes");
+}
+
 #[test]
 fn watches_end_with_the_role() {
     let mut driver = Driver::new(&DistributionSettings::default());
