--- a/crates/zinniadrift-core/src/claim/claim_writer.rs
+++ b/crates/zinniadrift-core/src/claim/claim_writer.rs
@@ -5,8 +5,8 @@
 
 use super::shard_state::{Cached, Call, ShardState, WriteCall};
 use super::{
-    ClaimShard, ClaimVerdict, ClaimsAction, ClaimsSettings, PendingOp, ReadResult, ShardId,
-    StoreOp, WritePacer, WriteResult,
+    ClaimVerdict, ClaimsAction, ClaimsSettings, PendingOp, ReadResult, ShardId, StoreOp,
+    WritePacer, WriteResult,
 };
 use crate::units::MonoTime;
 
@@ -213,7 +213,7 @@
         let Some(state) = self.shards.get_mut(&shard) else {
             return;
         };
-        let Some(cached) = state.cached.clone() else {
+        let Some(mut cached) = state.cached.clone() else {
             let op = next_op(&mut self.last_op);
             state.call = Some(Call {
                 op,
@@ -227,27 +227,30 @@
             self.paced_until = Some(at);
             return;
         }
-        let mut value = ClaimShard::clone(&cached.value);
-        let now_s = cfg.unix_s(now);
-        let ops: Vec<Verdict> = state
-            .queue
-            .drain(..)
-            .map(|p| {
-                let verdict = value.apply(&p.op, now_s, &cfg.rules);
-                (p, verdict)
-            })
-            .collect();
-        if value == *cached.value {
+        // The cached value is given up for the write, so that a driver that keeps no reference to
+        // it spares the copy of thousands of claims.
+        state.cached = None;
+        let (mut ops, mut changed) = (Vec::with_capacity(state.queue.len()), false);
+        let value = Arc::make_mut(&mut cached.value);
+        for pending in state.queue.drain(..) {
+            let before = value.claims.get(&pending.op.key).cloned();
+            let verdict = value.apply(&pending.op, cfg.unix_s(now), &cfg.rules);
+            changed |= value.claims.get(&pending.op.key) != before.as_ref();
+            ops.push((pending, verdict));
+        }
+        if !changed {
             let refused = ops.iter().any(|(_, v)| *v == ClaimVerdict::Taken);
             if refused && now.since(cached.confirmed) > REFUSE_AGE {
-                state.cached = None;
                 state.requeue(ops);
                 return self.pump_shard(now, shard, cfg, out, done);
             }
+            state.cached = Some(cached);
             done.extend(ops);
             return;
         }
-        let value = Arc::new(value);
+        let Cached {
+            revision, value, ..
+        } = cached;
         let op = next_op(&mut self.last_op);
         state.call = Some(Call {
             op,
@@ -260,7 +263,7 @@
         out.push(ClaimsAction::Write {
             op,
             shard,
-            expected: cached.revision,
+            expected: revision,
             value,
         });
     }
--- a/crates/zinniadrift-core/src/gateway/attempt_id.rs
+++ b/crates/zinniadrift-core/src/gateway/attempt_id.rs
@@ -1,7 +1,7 @@
 use derive_more::{Display, From, FromStr, Into};
 use serde::{Deserialize, Serialize};
 
-/// Identifies one attempt to run a request within one run of a gateway; the core assigns it.
+/// Identifies one attempt to run a request; the core assigns it, unique across gateways.
 #[derive(
     Clone,
     Copy,
--- a/crates/zinniadrift-core/src/gateway/dispatcher.rs
+++ b/crates/zinniadrift-core/src/gateway/dispatcher.rs
@@ -10,7 +10,7 @@
 use crate::units::MonoTime;
 
 /// Moves requests through claim, queue and attempts to their answer.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Dispatcher {
     table: RequestTable,
     pools: Pools,
@@ -20,7 +20,17 @@
 
 /// Failed attempts after which a request is given up on even if the retry budget allows more.
 const MAX_FAILURES: usize = 3;
+
 impl Dispatcher {
+    /// Returns a dispatcher without settings whose attempt ids follow `base`.
+    pub(crate) fn new(base: u64) -> Self {
+        Self {
+            table: RequestTable::new(base),
+            pools: Pools::default(),
+            abandoned: HashMap::new(),
+        }
+    }
+
     pub(crate) fn is_idle(&self) -> bool {
         self.table.is_empty()
     }
--- a/crates/zinniadrift-core/src/gateway/request_table.rs
+++ b/crates/zinniadrift-core/src/gateway/request_table.rs
@@ -29,6 +29,14 @@
 }
 
 impl RequestTable {
+    /// Returns an empty table whose attempt ids follow `base`.
+    pub(crate) fn new(base: u64) -> Self {
+        Self {
+            last_attempt: base,
+            ..Self::default()
+        }
+    }
+
     pub(crate) fn is_empty(&self) -> bool {
         self.requests.is_empty()
     }
@@ -59,7 +67,7 @@
     }
 
     pub(crate) fn start_attempt(&mut self, attempt: Attempt) -> AttemptId {
-        self.last_attempt += 1;
+        self.last_attempt = self.last_attempt.wrapping_add(1);
         let id = AttemptId::from(self.last_attempt);
         self.attempts.insert(id, attempt);
         id
--- a/crates/zinniadrift-core/src/gateway/state_machine.rs
+++ b/crates/zinniadrift-core/src/gateway/state_machine.rs
@@ -39,10 +39,10 @@
         let claims = Claims::new(claims_settings(&cfg));
         let rng = Xoshiro256PlusPlus::seed_from_u64(cfg.seed);
         let mut gateway = Self {
+            dispatcher: Dispatcher::new(run_hash(&cfg)),
             cfg,
             catalog: Arc::default(),
             gateways: Vec::new(),
-            dispatcher: Dispatcher::default(),
             claims,
             rng,
             counters: Counters::default(),
@@ -311,14 +311,19 @@
     /// Returns a token that no other claim of the same key has.
     fn next_token(&mut self) -> ClaimToken {
         self.last_claim += 1;
-        let run = xxh3_64_with_seed(
-            &u64::from(self.cfg.incarnation).to_le_bytes(),
-            u64::from(self.cfg.member.get()),
-        );
+        let run = run_hash(&self.cfg);
         xxh3_64_with_seed(&self.last_claim.to_le_bytes(), run).into()
     }
 }
 
+/// Returns a number that differs between all runs of all gateways.
+///
+/// Attempt ids follow it, because a target that swaps responses may do so between gateways.
+fn run_hash(cfg: &GatewaySettings) -> u64 {
+    let incarnation = u64::from(cfg.incarnation);
+    xxh3_64_with_seed(&incarnation.to_le_bytes(), cfg.member.get().into())
+}
+
 fn claims_settings(cfg: &GatewaySettings) -> ClaimsSettings {
     let on = cfg.mechanisms;
     ClaimsSettings {
--- a/crates/zinniadrift-lab/src/experiments/experiment.rs
+++ b/crates/zinniadrift-lab/src/experiments/experiment.rs
@@ -12,4 +12,4 @@
 }
 
 /// Lists all experiments.
-pub const EXPERIMENTS: &[Experiment] = &[];
+pub const EXPERIMENTS: &[Experiment] = &[super::requests::REQUESTS];
--- a/crates/zinniadrift-lab/src/experiments/mod.rs
+++ b/crates/zinniadrift-lab/src/experiments/mod.rs
@@ -2,6 +2,7 @@
 
 mod experiment;
 mod measure_line;
+pub mod requests;
 
 pub use experiment::{EXPERIMENTS, Experiment};
 pub use measure_line::MeasureLine;
--- /dev/null
+++ b/crates/zinniadrift-lab/src/experiments/requests/fake_target.rs
@@ -0,0 +1,87 @@
+use std::collections::HashMap;
+use std::time::Duration;
+
+use zinniadrift_core::ids::{TargetId, ZoneName};
+use zinniadrift_core::units::MonoTime;
+
+/// Stands in for a target that runs work in slots and sheds when all are busy.
+#[derive(Debug)]
+pub struct FakeTarget {
+    /// The id in the settings.
+    pub id: TargetId,
+    /// The availability zone.
+    pub zone: ZoneName,
+    /// The work it runs at once.
+    pub slots: usize,
+    /// When it started; a young target is slower.
+    pub started: MonoTime,
+    /// Whether it refuses new work.
+    pub draining: bool,
+    running: HashMap<u64, MonoTime>,
+    busy_time: Duration,
+    updated: MonoTime,
+}
+
+/// The time for which a target is cold after its start.
+const COLD_TIME: Duration = Duration::from_secs(10);
+/// How much longer work takes on a target that has just started.
+const COLD_FACTOR: f64 = 3.0;
+
+impl FakeTarget {
+    /// Returns a target without work.
+    pub fn new(id: TargetId, zone: ZoneName, slots: usize, started: MonoTime) -> Self {
+        Self {
+            id,
+            zone,
+            slots,
+            started,
+            draining: false,
+            running: HashMap::new(),
+            busy_time: Duration::ZERO,
+            updated: started,
+        }
+    }
+
+    /// Tells whether a slot is free.
+    pub fn has_slot(&self) -> bool {
+        self.running.len() < self.slots
+    }
+
+    /// Returns the busy slots.
+    pub fn busy(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Starts work and returns when it ends.
+    pub fn start(&mut self, now: MonoTime, run: u64, service_time: Duration) -> MonoTime {
+        self.account(now);
+        self.running.insert(run, now);
+        let age = now.since(self.started);
+        let cold = 1.0 - (age.as_secs_f64() / COLD_TIME.as_secs_f64()).min(1.0);
+        let is_first = self.started == MonoTime::default();
+        let factor = if is_first {
+            1.0
+        } else {
+            1.0 + (COLD_FACTOR - 1.0) * cold
+        };
+        now + service_time.mul_f64(factor)
+    }
+
+    /// Ends work; returns false if it was ended before.
+    pub fn end(&mut self, now: MonoTime, run: u64) -> bool {
+        self.account(now);
+        self.running.remove(&run).is_some()
+    }
+
+    /// Returns the slot time used since the last call.
+    pub fn take_busy_time(&mut self, now: MonoTime) -> Duration {
+        self.account(now);
+        std::mem::take(&mut self.busy_time)
+    }
+
+    fn account(&mut self, now: MonoTime) {
+        let busy = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
+        self.busy_time += now.since(self.updated) * busy;
+        self.updated = now;
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-lab/src/experiments/requests/load.rs
@@ -0,0 +1,49 @@
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+
+use zinniadrift_core::units::MonoTime;
+
+use super::Work;
+
+/// Describes the work that callers bring.
+#[derive(Clone, Copy, Debug)]
+pub struct Load {
+    /// Pieces of work per second, arriving independently.
+    pub rate: f64,
+    /// The time over which they arrive.
+    pub duration: Duration,
+    /// The share that may not be repeated.
+    pub non_idempotent: f64,
+    /// The mean of the exponentially distributed time that work takes.
+    pub service_time: Duration,
+}
+
+/// The time at which the first work arrives, after the gateways have their settings.
+pub const START: MonoTime = MonoTime::from_millis(1_000);
+
+impl Load {
+    /// Draws the work for a seed.
+    pub fn draw(&self, seed: u64) -> Vec<Work> {
+        let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed ^ 0x10ad);
+        let mut at = START;
+        let mut all = Vec::new();
+        loop {
+            at = at + Duration::from_secs_f64(exponential(&mut rng) / self.rate);
+            if at >= START + self.duration {
+                return all;
+            }
+            all.push(Work {
+                at,
+                idempotent: rng.random::<f64>() >= self.non_idempotent,
+                service_time: self.service_time.mul_f64(exponential(&mut rng)),
+            });
+        }
+    }
+}
+
+/// Draws from the exponential distribution with mean 1.
+pub(super) fn exponential(rng: &mut Xoshiro256PlusPlus) -> f64 {
+    -(1.0 - rng.random::<f64>()).ln()
+}
--- /dev/null
+++ b/crates/zinniadrift-lab/src/experiments/requests/schedule.rs
@@ -0,0 +1,33 @@
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+
+use zinniadrift_core::units::MonoTime;
+
+use super::event::Event;
+
+/// Orders events by time and, at the same time, by the order in which they were added.
+#[derive(Debug, Default)]
+pub(super) struct Schedule {
+    order: BinaryHeap<Reverse<(MonoTime, u64)>>,
+    events: HashMap<u64, Event>,
+    last: u64,
+}
+
+impl Schedule {
+    pub(super) fn add(&mut self, at: MonoTime, event: Event) {
+        self.last += 1;
+        self.order.push(Reverse((at, self.last)));
+        self.events.insert(self.last, event);
+    }
+
+    /// Takes the next event if it is not after `until`.
+    pub(super) fn next(&mut self, until: MonoTime) -> Option<(MonoTime, Event)> {
+        let Reverse((at, id)) = *self.order.peek()?;
+        if at > until {
+            return None;
+        }
+        self.order.pop();
+        let event = self.events.remove(&id)?;
+        Some((at, event))
+    }
+}
