Check histories of requests under faults, and make ids unique across runs

A gateway that had restarted numbered its batches from 1 again and took an answer to its earlier run for its own. Batches, store calls and attempts are now numbered from a hash of member and incarnation.

--- a/crates/zinniadrift-core/src/gateway/state_machine.rs
+++ b/crates/zinniadrift-core/src/gateway/state_machine.rs
@@ -328,6 +328,7 @@
     let on = cfg.mechanisms;
     ClaimsSettings {
         member: cfg.member,
+        id_base: run_hash(cfg),
         unix_origin_s: cfg.unix_origin_s,
         store_timeout: cfg.store_timeout,
         token_read_back: on.token_read_back,
--- a/crates/zinniadrift-core/src/lib.rs
+++ b/crates/zinniadrift-core/src/lib.rs
@@ -13,10 +13,12 @@
 
 pub mod balancer;
 pub mod claim;
+pub mod distribution;
 pub mod error;
 pub mod flow;
 pub mod gateway;
 pub mod ids;
+pub mod membership;
 pub mod placement;
 pub mod settings;
 pub mod units;
--- a/crates/zinniadrift-lab/src/experiments/experiment.rs
+++ b/crates/zinniadrift-lab/src/experiments/experiment.rs
@@ -1,4 +1,4 @@
-use super::MeasureLine;
+use super::{MeasureLine, balance, config, cost, flows, requests};
 
 /// Is an experiment that `measure` can run by name.
 #[derive(Clone, Copy, Debug)]
@@ -12,4 +12,10 @@
 }
 
 /// Lists all experiments.
-pub const EXPERIMENTS: &[Experiment] = &[super::requests::REQUESTS];
+pub const EXPERIMENTS: &[Experiment] = &[
+    flows::EXPERIMENT,
+    balance::EXPERIMENT,
+    cost::EXPERIMENT,
+    config::EXPERIMENT,
+    requests::EXPERIMENT,
+];
--- a/crates/zinniadrift-lab/src/experiments/requests/figures.rs
+++ b/crates/zinniadrift-lab/src/experiments/requests/figures.rs
@@ -6,7 +6,7 @@
 use crate::experiments::{Experiment, MeasureLine};
 
 /// Measures dispatch and claims under load, overload, changes and faults.
-pub const REQUESTS: Experiment = Experiment {
+pub const EXPERIMENT: Experiment = Experiment {
     name: "requests",
     policies: Policy::NAMES,
     run,
@@ -207,7 +207,7 @@
 impl Figures {
     fn add(&mut self, figure: &str, value: f64, unit: &'static str) {
         self.lines.push(MeasureLine {
-            measure: REQUESTS.name,
+            measure: EXPERIMENT.name,
             policy: self.policy.into(),
             seed: self.seed,
             figure: figure.into(),
--- a/crates/zinniadrift-lab/src/experiments/requests/mod.rs
+++ b/crates/zinniadrift-lab/src/experiments/requests/mod.rs
@@ -22,7 +22,7 @@
 pub use callers::Callers;
 pub use fake_store::FakeStore;
 pub use fake_target::FakeTarget;
-pub use figures::REQUESTS;
+pub use figures::EXPERIMENT;
 pub use history::{EntryKind, History, HistoryEntry};
 pub use ideal_queue::ideal_queue;
 pub use load::{Load, START};
--- a/crates/zinniadrift-lab/src/experiments/requests/settings.rs
+++ b/crates/zinniadrift-lab/src/experiments/requests/settings.rs
@@ -25,6 +25,8 @@
     pub patience: Duration,
     /// The further requests of a caller for the same work.
     pub caller_retries: u32,
+    /// The share of work for which a caller sends two requests at once.
+    pub double_asks: f64,
     /// The age of load reports when they reach the gateways.
     pub report_age: Duration,
     /// The faults to inject.
@@ -44,6 +46,7 @@
             lease: Duration::from_secs(2),
             patience: Duration::from_secs(2),
             caller_retries: 0,
+            double_asks: 0.0,
             report_age: Duration::from_secs(10),
             faults: Faults::default(),
         }
--- a/crates/zinniadrift-lab/src/experiments/requests/world.rs
+++ b/crates/zinniadrift-lab/src/experiments/requests/world.rs
@@ -61,6 +61,11 @@
             let at = callers.work[i].at;
             let ask = callers.add(i, gateway, at, 0);
             schedule.add(at, Event::Ask(ask));
+            if rng.random::<f64>() < cfg.double_asks {
+                let other = rng.random_range(0..nodes.len());
+                let ask = callers.add(i, other, at, 0);
+                schedule.add(at, Event::Ask(ask));
+            }
         }
         let mut world = Self {
             callers,
