Let target doubles shed, run slow, drain, lie and log runs per key

Callers are a type whose flows stay open while a test changes things. The decoder tests also cover conversions: parallel lists of unequal length and numbers out of range are refused.

--- a/crates/zinniadrift-lab/src/doubles/caller.rs
+++ b/crates/zinniadrift-lab/src/doubles/caller.rs
@@ -1,4 +1,4 @@
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
@@ -52,7 +52,7 @@
     /// Flows that got no answer.
     pub silent: u32,
     /// Flows per target.
-    pub flows_per_target: std::collections::BTreeMap<String, u32>,
+    pub flows_per_target: BTreeMap<String, u32>,
 }
 
 /// Opens flows, sends packets through random balancers and reports what came back.
@@ -61,52 +61,119 @@
 ///
 /// Fails if the socket does.
 pub async fn run_flows(cfg: &CallerSettings) -> std::io::Result<FlowReport> {
-    let socket = UdpSocket::bind((cfg.address, cfg.answer_port)).await?;
-    let mut caller = Caller {
-        cfg,
-        socket,
-        rng: Xoshiro256PlusPlus::seed_from_u64(cfg.seed),
-        report: FlowReport::default(),
-        targets: HashMap::new(),
-        broken: std::collections::HashSet::new(),
-    };
-    caller.round(PacketKind::Open).await?;
+    let mut caller = Caller::bind(cfg.clone()).await?;
+    caller.open(cfg.flows).await?;
     for _ in 0..cfg.rounds {
         tokio::time::sleep(cfg.round_interval).await;
-        caller.round(PacketKind::Middle).await?;
+        caller.send_round().await?;
     }
-    caller.round(PacketKind::Close).await?;
-    Ok(caller.finish())
+    caller.close().await?;
+    Ok(caller.report())
 }
 
-struct Caller<'a> {
-    cfg: &'a CallerSettings,
+/// Holds flows open and checks that each stays on its target.
+#[derive(Debug)]
+pub struct Caller {
+    cfg: CallerSettings,
     socket: UdpSocket,
     rng: Xoshiro256PlusPlus,
     report: FlowReport,
+    opened: u16,
     targets: HashMap<u16, String>,
-    broken: std::collections::HashSet<u16>,
+    broken: HashSet<u16>,
+    silent: HashSet<u16>,
 }
 
-impl Caller<'_> {
-    /// Sends one packet of every flow and repeats it until it is answered.
-    async fn round(&mut self, kind: PacketKind) -> std::io::Result<()> {
-        for i in 0..self.cfg.flows {
-            let port = FIRST_PORT + i;
-            if self.broken.contains(&port) {
-                continue;
-            }
-            if self.exchange(port, kind).await? {
-                self.report.answered += 1;
-                self.report.opened += u32::from(kind == PacketKind::Open);
-            } else {
-                self.report.silent += 1;
-                self.broken.insert(port);
+impl Caller {
+    /// Returns a caller without flows.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket cannot be opened.
+    pub async fn bind(cfg: CallerSettings) -> std::io::Result<Self> {
+        let socket = UdpSocket::bind((cfg.address, cfg.answer_port)).await?;
+        let rng = Xoshiro256PlusPlus::seed_from_u64(cfg.seed);
+        Ok(Self {
+            cfg,
+            socket,
+            rng,
+            report: FlowReport::default(),
+            opened: 0,
+            targets: HashMap::new(),
+            broken: HashSet::new(),
+            silent: HashSet::new(),
+        })
+    }
+
+    /// Opens further flows and sends the first data of each.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket does.
+    pub async fn open(&mut self, flows: u16) -> std::io::Result<()> {
+        let first = FIRST_PORT + self.opened;
+        self.opened += flows;
+        for kind in [PacketKind::Open, PacketKind::Middle] {
+            for port in first..first + flows {
+                self.step(port, kind).await?;
             }
         }
         Ok(())
     }
 
+    /// Sends one packet of every flow and repeats it until it is answered.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket does.
+    pub async fn send_round(&mut self) -> std::io::Result<()> {
+        for port in FIRST_PORT..FIRST_PORT + self.opened {
+            self.step(port, PacketKind::Middle).await?;
+        }
+        Ok(())
+    }
+
+    /// Closes all flows.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket does.
+    pub async fn close(&mut self) -> std::io::Result<()> {
+        for port in FIRST_PORT..FIRST_PORT + self.opened {
+            self.step(port, PacketKind::Close).await?;
+        }
+        Ok(())
+    }
+
+    /// Sends packets through these balancers from now on.
+    pub fn set_balancers(&mut self, balancers: Vec<SocketAddr>) {
+        self.cfg.balancers = balancers;
+    }
+
+    /// Returns what the caller saw so far.
+    pub fn report(&self) -> FlowReport {
+        let mut report = self.report.clone();
+        report.broken = self.broken.len() as u32;
+        report.silent = self.silent.len() as u32;
+        for name in self.targets.values() {
+            *report.flows_per_target.entry(name.clone()).or_default() += 1;
+        }
+        report
+    }
+
+    async fn step(&mut self, port: u16, kind: PacketKind) -> std::io::Result<()> {
+        if self.broken.contains(&port) || self.silent.contains(&port) {
+            return Ok(());
+        }
+        if self.exchange(port, kind).await? {
+            self.report.answered += 1;
+            self.report.opened += u32::from(kind == PacketKind::Open);
+        } else {
+            self.silent.insert(port);
+        }
+        Ok(())
+    }
+
     async fn exchange(&mut self, port: u16, kind: PacketKind) -> std::io::Result<bool> {
         let mut buf = vec![0; MAX_DATAGRAM_BYTES];
         for _ in 0..MAX_TRIES {
@@ -171,12 +238,4 @@
         }
         true
     }
-
-    fn finish(mut self) -> FlowReport {
-        self.report.broken = self.broken.len() as u32;
-        for name in self.targets.into_values() {
-            *self.report.flows_per_target.entry(name).or_default() += 1;
-        }
-        self.report
-    }
 }
--- a/crates/zinniadrift-lab/src/doubles/mod.rs
+++ b/crates/zinniadrift-lab/src/doubles/mod.rs
@@ -2,8 +2,14 @@
 
 mod caller;
 mod platform;
+mod run_log;
 mod target;
+mod target_behavior;
+mod target_flows;
+mod target_requests;
 
-pub use caller::{CallerSettings, FlowReport, run_flows};
+pub use caller::{Caller, CallerSettings, FlowReport, run_flows};
 pub use platform::serve_platform;
+pub use run_log::{RunGuard, RunLog, Runs};
 pub use target::{TargetSettings, serve_target};
+pub use target_behavior::TargetBehavior;
--- a/crates/zinniadrift-lab/src/main.rs
+++ b/crates/zinniadrift-lab/src/main.rs
@@ -13,7 +13,8 @@
 Usage: zinniadrift-lab COMMAND [OPTIONS]
 
 platform --listen IP:PORT            serve the platform's object API from memory
-target --name NAME --listen IP:PORT  serve flows and requests
+target --name NAME --listen IP:PORT [--slots N] [--service-ms N]
+                                     serve flows and requests
 flows --service IP:PORT --balancers IP:PORT,.. [--address IP] [--flows N] [--rounds N]
       [--interval-ms N] [--seed N]   open flows through the balancers
 request --gateway IP:PORT --path PATH [--method M] [--key KEY] [--body TEXT]
--- a/crates/zinniadrift-runtime/src/gateway/store_calls.rs
+++ b/crates/zinniadrift-runtime/src/gateway/store_calls.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use zinniadrift_core::claim::{ClaimShard, ReadResult, ShardId, StoreOp, WriteResult};
 use zinniadrift_core::gateway::GatewayEvent;
 use zinniadrift_platform::{HttpStore, ObjectStore, Precondition, StoreError};
@@ -13,7 +15,7 @@
         Ok(Some(object)) => match serde_json::from_value::<ClaimShard>(object.value) {
             Ok(value) => ReadResult::Found {
                 revision: object.revision,
-                value: Box::new(value),
+                value: Arc::new(value),
             },
             Err(e) => {
                 // A shard that cannot be read must not be overwritten: its claims would be lost.
@@ -34,7 +36,7 @@
     op: StoreOp,
     shard: ShardId,
     expected: Option<u64>,
-    value: Box<ClaimShard>,
+    value: Arc<ClaimShard>,
 ) -> GatewayEvent {
     let pre = expected.map_or(Precondition::Absent, Precondition::Revision);
     let result = match serde_json::to_value(&*value) {
--- a/tests/testsuite/decoders.rs
+++ b/tests/testsuite/decoders.rs
@@ -4,13 +4,17 @@
 
 #![allow(clippy::unwrap_used)]
 
+use std::net::SocketAddrV4;
+
 use bytes::Bytes;
 use etherparse::PacketBuilder;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
+use zinniadrift_core::balancer::{BaseSet, PeerMessage};
+use zinniadrift_core::flow::Pin;
 use zinniadrift_proto::v1::datagram::Body;
-use zinniadrift_proto::v1::{Datagram, Heartbeat, Pin, Publish};
+use zinniadrift_proto::v1::{Datagram, Heartbeat, PinGroup, Publish};
 use zinniadrift_proto::{DatagramError, MAX_PEER_DATAGRAM_BYTES};
 use zinniadrift_runtime::geneve::{Frame, MAX_DATAGRAM_BYTES};
 
@@ -49,17 +53,18 @@
 }
 
 fn publish(pins: usize) -> Datagram {
-    let pin = Pin {
+    let group = PinGroup {
         service: 1,
-        caller_ip: 2,
-        caller_port: 60_000,
-        target: 3,
+        target: 2,
         time: u64::MAX,
+        caller_ips: vec![3; pins],
+        caller_ports: vec![60_000; pins],
+        time_offsets: Vec::new(),
     };
-    let pins = vec![pin; pins];
+    let groups = vec![group];
     Datagram {
         group: "granite".into(),
-        body: Some(Body::Publish(Publish { number: 7, pins })),
+        body: Some(Body::Publish(Publish { number: 7, groups })),
         ..Datagram::default()
     }
 }
@@ -115,8 +120,10 @@
 fn random_peer_datagrams_do_not_panic() {
     let input = prop::collection::vec(any::<u8>(), 0..2 * MAX_PEER_DATAGRAM_BYTES);
     run(&input, |bytes| {
-        let result = Datagram::decode_checked("granite", &bytes);
-        prop_assert!(result.is_err() || bytes.len() <= MAX_PEER_DATAGRAM_BYTES);
+        if let Ok(datagram) = Datagram::decode_checked("granite", &bytes) {
+            prop_assert!(bytes.len() <= MAX_PEER_DATAGRAM_BYTES);
+            let _ = datagram.into_message();
+        }
         Ok(())
     });
 }
@@ -139,7 +146,8 @@
         let whole = datagram.encode_checked().unwrap();
         assert_eq!(Datagram::decode_checked("granite", &whole), Ok(datagram));
         for len in 0..whole.len() {
-            let _ = Datagram::decode_checked("granite", &whole[..len]);
+            let cut = Datagram::decode_checked("granite", &whole[..len]);
+            let _ = cut.and_then(Datagram::into_message);
         }
     }
 }
@@ -148,7 +156,7 @@
 #[test]
 fn foreign_peer_datagrams_are_refused() {
     let refused = |bytes: &[u8]| Datagram::decode_checked("granite", bytes).unwrap_err();
-    assert_eq!(publish(200).encode_checked(), Err(DatagramError::TooLong));
+    assert_eq!(publish(300).encode_checked(), Err(DatagramError::TooLong));
     assert_eq!(refused(&[0; 1_401]), DatagramError::TooLong);
     let other = Datagram {
         group: "verband".into(),
@@ -168,6 +176,74 @@
     );
 }
 
+/// Guards the checks of parallel lists and number ranges, which would end in wrong flow entries.
+#[test]
+fn inconsistent_pin_groups_are_refused() {
+    let with = |change: &dyn Fn(&mut PinGroup)| {
+        let mut datagram = publish(2);
+        let Some(Body::Publish(p)) = &mut datagram.body else {
+            unreachable!();
+        };
+        change(&mut p.groups[0]);
+        datagram.into_message()
+    };
+    assert!(with(&|_| {}).is_ok());
+    assert_eq!(
+        with(&|g| g.caller_ports.truncate(1)),
+        Err(DatagramError::Malformed)
+    );
+    assert_eq!(
+        with(&|g| g.caller_ports[0] = 65_536),
+        Err(DatagramError::Malformed)
+    );
+    assert_eq!(
+        with(&|g| g.time_offsets.push(1)),
+        Err(DatagramError::Malformed)
+    );
+}
+
+/// Guards the conversions: what a member sends is what its peer handles.
+#[test]
+fn messages_survive_the_wire() {
+    let pin = |target: u32, time: u64, port| Pin {
+        service: 1.into(),
+        target: target.into(),
+        time: time.into(),
+        caller: SocketAddrV4::new([10, 0, 0, 1].into(), port),
+    };
+    let pins = vec![pin(1, 5, 1), pin(1, 9, 2), pin(2, 9, 3)];
+    let base = BaseSet {
+        service: 1.into(),
+        version: 3.into(),
+        targets: vec![(1.into(), 100.into())],
+    };
+    let messages = [
+        PeerMessage::Publish {
+            number: 4,
+            pins: pins.clone(),
+        },
+        PeerMessage::SnapshotRequest { id: 1, index: 2 },
+        PeerMessage::SnapshotPart {
+            id: 1,
+            index: 2,
+            total: 3,
+            publication: 4,
+            pins,
+            bases: vec![base],
+        },
+        PeerMessage::Goodbye,
+    ];
+    for msg in messages {
+        let datagram = Datagram {
+            body: Some(msg.clone().into()),
+            ..publish(0)
+        };
+        let bytes = datagram.encode_checked().unwrap();
+        let read = Datagram::decode_checked("granite", &bytes).unwrap();
+        assert_eq!(read.into_message(), Ok(msg));
+    }
+}
+
 /// Guards the rule of RFC 8926 that an unknown critical option drops the packet.
 #[test]
 fn unknown_critical_option_is_refused() {
