--- a/tests/testsuite/decoders.rs
+++ b/tests/testsuite/decoders.rs
@@ -13,6 +13,7 @@
 
 use zinniadrift_core::balancer::{BaseSet, PeerMessage};
 use zinniadrift_core::flow::Pin;
+use zinniadrift_core::membership::PublicationMark;
 use zinniadrift_proto::v1::datagram::Body;
 use zinniadrift_proto::v1::{Datagram, Heartbeat, PinGroup, Publish};
 use zinniadrift_proto::{DatagramError, MAX_PEER_DATAGRAM_BYTES};
@@ -217,6 +218,11 @@
         version: 3.into(),
         targets: vec![(1.into(), 100.into())],
     };
+    let mark = PublicationMark {
+        member: 1.into(),
+        incarnation: 2.into(),
+        number: 3,
+    };
     let messages = [
         PeerMessage::Publish {
             number: 4,
@@ -230,6 +236,7 @@
             publication: 4,
             pins,
             bases: vec![base],
+            marks: vec![mark],
         },
         PeerMessage::Goodbye,
     ];
