--- a/crates/zinniadrift-lab/src/doubles/caller.rs
+++ b/crates/zinniadrift-lab/src/doubles/caller.rs
@@ -1,5 +1,6 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::ops::Range;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,8 +17,11 @@
 const TTL: u8 = 64;
 const WINDOW: u16 = 1_024;
 const FIRST_PORT: u16 = 10_000;
-const RETRANSMIT: Duration = Duration::from_millis(200);
-const MAX_TRIES: u32 = 25;
+const RETRANSMIT: Duration = Duration::from_millis(100);
+const MAX_TRIES: u32 = 50;
+/// Flows whose packets are on their way at the same time; more would overflow socket buffers.
+const BATCH: usize = 64;
+const PAYLOAD: &[u8] = b"ping";
 
 /// Configures a caller double, which also plays the fabric.
 #[derive(Clone, Debug)]
@@ -114,9 +118,7 @@
         let first = FIRST_PORT + self.opened;
         self.opened += flows;
         for kind in [PacketKind::Open, PacketKind::Middle] {
-            for port in first..first + flows {
-                self.step(port, kind).await?;
-            }
+            self.round(first..first + flows, kind).await?;
         }
         Ok(())
     }
@@ -127,10 +129,8 @@
     ///
     /// Fails if the socket does.
     pub async fn send_round(&mut self) -> std::io::Result<()> {
-        for port in FIRST_PORT..FIRST_PORT + self.opened {
-            self.step(port, PacketKind::Middle).await?;
-        }
-        Ok(())
+        self.round(FIRST_PORT..FIRST_PORT + self.opened, PacketKind::Middle)
+            .await
     }
 
     /// Closes all flows.
@@ -139,10 +139,8 @@
     ///
     /// Fails if the socket does.
     pub async fn close(&mut self) -> std::io::Result<()> {
-        for port in FIRST_PORT..FIRST_PORT + self.opened {
-            self.step(port, PacketKind::Close).await?;
-        }
-        Ok(())
+        self.round(FIRST_PORT..FIRST_PORT + self.opened, PacketKind::Close)
+            .await
     }
 
     /// Sends packets through these balancers from now on.
@@ -161,39 +159,52 @@
         report
     }
 
-    async fn step(&mut self, port: u16, kind: PacketKind) -> std::io::Result<()> {
-        if self.broken.contains(&port) || self.silent.contains(&port) {
-            return Ok(());
-        }
-        if self.exchange(port, kind).await? {
-            self.report.answered += 1;
-            self.report.opened += u32::from(kind == PacketKind::Open);
-        } else {
-            self.silent.insert(port);
+    /// Sends one packet of each flow and repeats those that are not answered.
+    async fn round(&mut self, ports: Range<u16>, kind: PacketKind) -> std::io::Result<()> {
+        let ports: Vec<u16> = ports
+            .filter(|p| !self.broken.contains(p) && !self.silent.contains(p))
+            .collect();
+        for chunk in ports.chunks(BATCH) {
+            let waiting = self.exchange(chunk, kind).await?;
+            let answered = (chunk.len() - waiting.len()) as u32;
+            self.report.answered += answered;
+            if kind == PacketKind::Open {
+                self.report.opened += answered;
+            }
+            self.silent.extend(waiting);
         }
         Ok(())
     }
 
-    async fn exchange(&mut self, port: u16, kind: PacketKind) -> std::io::Result<bool> {
+    /// Returns the flows that were not answered.
+    async fn exchange(&mut self, ports: &[u16], kind: PacketKind) -> std::io::Result<Vec<u16>> {
         let mut buf = vec![0; MAX_DATAGRAM_BYTES];
+        let mut waiting: HashMap<u16, u32> =
+            ports.iter().map(|p| (*p, self.rng.next_u32())).collect();
         for _ in 0..MAX_TRIES {
-            let via = self.cfg.balancers[self.rng.random_range(0..self.cfg.balancers.len())];
-            let datagram = Frame::encode(&self.packet(port, kind), false);
-            self.socket.send_to(&datagram, via).await?;
+            for (port, seq) in &waiting {
+                let via = self.cfg.balancers[self.rng.random_range(0..self.cfg.balancers.len())];
+                let datagram = Frame::encode(&self.packet(*port, *seq, kind), false);
+                self.socket.send_to(&datagram, via).await?;
+            }
             let deadline = Instant::now() + RETRANSMIT;
-            while let Ok(received) = timeout_at(deadline, self.socket.recv_from(&mut buf)).await {
+            while !waiting.is_empty() {
+                let Ok(received) = timeout_at(deadline, self.socket.recv_from(&mut buf)).await
+                else {
+                    break;
+                };
                 let (len, _) = received?;
-                if self.accept(port, &buf[..len]) {
-                    return Ok(true);
-                }
+                self.accept(&mut waiting, &buf[..len]);
+            }
+            if waiting.is_empty() {
+                break;
             }
         }
-        Ok(false)
+        Ok(waiting.into_keys().collect())
     }
 
-    fn packet(&mut self, port: u16, kind: PacketKind) -> Vec<u8> {
+    fn packet(&self, port: u16, seq: u32, kind: PacketKind) -> Vec<u8> {
         let (caller, service) = (self.cfg.address, self.cfg.service);
-        let seq = self.rng.next_u32();
         let base = PacketBuilder::ipv4(caller.octets(), service.ip().octets(), TTL).tcp(
             port,
             service.port(),
@@ -208,34 +219,43 @@
         };
         let mut packet = Vec::new();
         // Writing to a vector cannot fail for a packet of this size.
-        builder.write(&mut packet, b"ping").unwrap_or_default();
+        builder.write(&mut packet, PAYLOAD).unwrap_or_default();
         packet
     }
 
-    /// Reads an answer; returns whether it belongs to the flow on `port`.
-    fn accept(&mut self, port: u16, datagram: &[u8]) -> bool {
+    /// Reads an answer and removes its flow from `waiting` if it acknowledges the flow's packet.
+    fn accept(&mut self, waiting: &mut HashMap<u16, u32>, datagram: &[u8]) {
         let Ok(frame) = Frame::decode(&Bytes::copy_from_slice(datagram)) else {
-            return false;
+            return;
         };
         let Ok(sliced) = SlicedPacket::from_ip(&frame.packet) else {
-            return false;
+            return;
         };
         let Some(TransportSlice::Tcp(tcp)) = sliced.transport else {
-            return false;
+            return;
+        };
+        let port = tcp.destination_port();
+        let Some(seq) = waiting.get(&port) else {
+            return;
         };
-        if tcp.destination_port() != port {
-            return false;
-        }
         if tcp.rst() {
             self.broken.insert(port);
+            waiting.remove(&port);
+            return;
+        }
+        let acknowledged = tcp.acknowledgment_number().wrapping_sub(*seq);
+        if acknowledged == 0 || acknowledged as usize > PAYLOAD.len() {
+            // The answer to an earlier copy of another packet.
+            return;
         }
+        waiting.remove(&port);
         let name = String::from_utf8_lossy(tcp.payload()).into_owned();
-        if !name.is_empty() {
-            let first = self.targets.entry(port).or_insert_with(|| name.clone());
-            if *first != name {
-                self.broken.insert(port);
-            }
+        if name.is_empty() {
+            return;
+        }
+        let first = self.targets.entry(port).or_insert_with(|| name.clone());
+        if *first != name {
+            self.broken.insert(port);
         }
-        true
     }
 }
