Check the guarantees with real processes that are killed, paused and cut off

Eight tests over loopback: drain, SIGKILL, SIGSTOP and graceful stop of a balancer, a newcomer during a platform outage, SIGKILL and SIGSTOP of a gateway in mid-request, lost answers of platform writes. Each test has a loopback net of its own and polls status objects, the time line or run logs.

A balancer now joins its group only with settings in force. The core's fault remains for a service that an edit adds.

--- a/crates/zinniadrift-runtime/src/balancer/driver.rs
+++ b/crates/zinniadrift-runtime/src/balancer/driver.rs
@@ -15,6 +15,7 @@
 use zinniadrift_core::distribution::LiveMember;
 use zinniadrift_core::flow::FlowPacket;
 use zinniadrift_core::ids::{MemberId, TargetId, ZoneName};
+use zinniadrift_core::membership::Host;
 use zinniadrift_core::settings::ServiceCatalog;
 use zinniadrift_core::units::{MonoTime, Version};
 
@@ -52,7 +53,9 @@
     members: Vec<MemberAddress>,
     counters: PacketCounters,
     outlets: Option<Outlets>,
+    seeds: Vec<Host>,
     buf: Box<[u8]>,
+    joined: bool,
     exiting: bool,
 }
 
@@ -91,7 +94,7 @@
             drain_deadline: millis(cfg.drain_deadline_ms, defaults.drain_deadline),
             ..defaults
         });
-        let mut driver = Self {
+        Self {
             core,
             clock,
             packets,
@@ -106,11 +109,11 @@
             members: Vec::new(),
             counters: PacketCounters::default(),
             outlets: None,
+            seeds: hosts_of(cfg),
             buf: vec![0; MAX_DATAGRAM_BYTES].into(),
+            joined: false,
             exiting: false,
-        };
-        driver.learn_seeds(&cfg.seeds, &cfg.name);
-        driver
+        }
     }
 
     /// Connects the channels to the daemon's other tasks.
@@ -134,7 +137,6 @@
         let mut reports = interval(REPORT_INTERVAL);
         reports.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut signal = Box::pin(shutdown_signal());
-        self.event(BalancerEvent::Tick).await;
         while !self.exiting {
             let deadline = self.core.next_deadline().map(|t| self.clock.instant(t));
             let timer = async {
@@ -148,6 +150,7 @@
                     // A second signal is waited for, so that it does not end the process at once.
                     signal = Box::pin(shutdown_signal());
                     self.recorder.record("stop", "asked to stop");
+                    self.exiting = !self.joined;
                     self.event(BalancerEvent::Leave).await;
                 }
                 _ = self.packets.readable() => self.read_packets().await,
@@ -167,7 +170,11 @@
         self.clock.now()
     }
 
+    /// Passes an event to the core, which is not asked before the first settings are there.
     async fn event(&mut self, event: BalancerEvent) {
+        if !self.joined {
+            return;
+        }
         let mut out = Vec::new();
         self.core.handle(self.now(), event, &mut out);
         self.execute(out).await;
@@ -187,6 +194,10 @@
     }
 
     async fn take_packet(&mut self, frame: Frame) {
+        if !self.joined {
+            self.counters.not_joined += 1;
+            return;
+        }
         let pkt = FlowPacket {
             flow: frame.flow,
             kind: frame.kind,
@@ -239,9 +250,9 @@
                 if let Some(address) = received.relay {
                     self.relays.insert(from, address);
                 }
-                self.report_version(from, h.settings_version);
+                self.report_version(from, Some(h.address), h.settings_version);
             }
-            PeerMessage::SettingsNotice { version } => self.report_version(from, *version),
+            PeerMessage::SettingsNotice { version } => self.report_version(from, None, *version),
             _ => {}
         }
         self.event(BalancerEvent::Peer {
@@ -295,7 +306,14 @@
         if let Some(outlets) = &self.outlets {
             outlets.catalog.send_replace(catalog.clone());
         }
+        // A member joins with settings in force: flow entries that it receives earlier would belong
+        // to services that it does not know and would be lost.
+        let seeds = (!self.joined).then(|| std::mem::take(&mut self.seeds));
+        self.joined = true;
         self.event(BalancerEvent::Settings(catalog)).await;
+        if let Some(seeds) = seeds {
+            self.event(BalancerEvent::Hosts(seeds)).await;
+        }
         self.report_status();
     }
 
@@ -314,17 +332,6 @@
         self.event(BalancerEvent::Hosts(hosts)).await;
     }
 
-    fn learn_seeds(&mut self, seeds: &[Seed], own: &str) {
-        let balancers = seeds.iter().filter(|s| s.role == Role::Balancer);
-        let hosts: Vec<_> = balancers
-            .filter(|s| &*s.name != own)
-            .map(Seed::host)
-            .collect();
-        // Seeds only add members; the first actions follow with the first tick.
-        let event = BalancerEvent::Hosts(hosts);
-        self.core.handle(self.now(), event, &mut Vec::new());
-    }
-
     async fn take_report(&mut self, state: TargetState) {
         let load = state.load.unwrap_or_default();
         self.event(BalancerEvent::Report(TargetReport {
@@ -337,9 +344,13 @@
         .await;
     }
 
-    fn report_version(&self, from: MemberId, version: Version) {
+    fn report_version(&self, from: MemberId, address: Option<SocketAddr>, version: Version) {
         if let Some(outlets) = &self.outlets {
-            let input = DistributionInput::PeerVersion { from, version };
+            let input = DistributionInput::PeerVersion {
+                from,
+                address,
+                version,
+            };
             // A full queue loses a version that the next heartbeat repeats.
             let _ = outlets.distribution.try_send(input);
         }
@@ -390,3 +401,12 @@
         });
     }
 }
+
+/// Returns the other balancers among the seeds.
+fn hosts_of(cfg: &DaemonSettings) -> Vec<Host> {
+    let balancers = cfg.seeds.iter().filter(|s| s.role == Role::Balancer);
+    balancers
+        .filter(|s| s.name != cfg.name)
+        .map(Seed::host)
+        .collect()
+}
--- a/crates/zinniadrift-runtime/src/balancer/packet_counters.rs
+++ b/crates/zinniadrift-runtime/src/balancer/packet_counters.rs
@@ -3,6 +3,8 @@
 pub struct PacketCounters {
     /// Datagrams that are no complete Geneve frame with a TCP packet.
     pub malformed: u64,
+    /// Packets that arrived before the first settings.
+    pub not_joined: u64,
     /// Packets whose target or peer has no known address.
     pub no_address: u64,
     /// Packets that the socket did not take.
--- a/crates/zinniadrift-runtime/src/distribution/driver.rs
+++ b/crates/zinniadrift-runtime/src/distribution/driver.rs
@@ -109,11 +109,13 @@
         };
         tokio::select! {
             Some(input) = self.parts.rx.recv() => match input {
-                DistributionInput::PeerVersion { from, version } => {
+                DistributionInput::PeerVersion { from, address, version } => {
+                    self.addresses.extend(address.map(|a| (from, a)));
                     DistributionEvent::PeerVersion { from, version }
                 }
                 DistributionInput::Members(members) => {
-                    self.addresses = members.iter().map(|m| (m.member.id, m.address)).collect();
+                    let addresses = members.iter().map(|m| (m.member.id, m.address));
+                    self.addresses.extend(addresses);
                     DistributionEvent::Members(members.into_iter().map(|m| m.member).collect())
                 }
             },
--- a/crates/zinniadrift-runtime/src/distribution/input.rs
+++ b/crates/zinniadrift-runtime/src/distribution/input.rs
@@ -11,6 +11,8 @@
     PeerVersion {
         /// The peer.
         from: MemberId,
+        /// The address where it answers calls, if the message told it.
+        address: Option<SocketAddr>,
         /// The version that it has in force.
         version: Version,
     },
--- a/crates/zinniadrift-runtime/src/gateway/driver.rs
+++ b/crates/zinniadrift-runtime/src/gateway/driver.rs
@@ -348,9 +348,9 @@
                 } else {
                     self.group.hear(self.now(), &host);
                 }
-                self.report_version(from, h.settings_version);
+                self.report_version(from, Some(h.address), h.settings_version);
             }
-            PeerMessage::SettingsNotice { version } => self.report_version(from, version),
+            PeerMessage::SettingsNotice { version } => self.report_version(from, None, version),
             PeerMessage::Goodbye => self.group.leave(from),
             // Messages about flows concern balancers only.
             _ => {}
@@ -397,8 +397,12 @@
         self.event(GatewayEvent::Peers(peers));
     }
 
-    fn report_version(&self, from: MemberId, version: Version) {
-        let input = DistributionInput::PeerVersion { from, version };
+    fn report_version(&self, from: MemberId, address: Option<SocketAddr>, version: Version) {
+        let input = DistributionInput::PeerVersion {
+            from,
+            address,
+            version,
+        };
         // A full queue loses a version that the next heartbeat repeats.
         let _ = self.outlets.distribution.try_send(input);
     }
--- a/crates/zinniadrift-runtime/src/metrics/balancer_metrics.rs
+++ b/crates/zinniadrift-runtime/src/metrics/balancer_metrics.rs
@@ -244,6 +244,14 @@
         ),
         |c| c.hold_full,
     ),
+    (
+        Metric::counter(
+            "packets.not_joined",
+            "packets",
+            "packets that arrived before the first settings",
+        ),
+        |c| c.not_joined,
+    ),
 ];
 
 pub(super) const BALANCER_GAUGES: &[(Metric, Read<Balancer>)] = &[
--- /dev/null
+++ b/tests/testsuite/processes.rs
@@ -0,0 +1,231 @@
+//! Checks the guarantees with real processes that are killed, paused and cut off.
+//!
+//! No test waits for a fixed time: each polls the status objects, the time line or the run logs.
+
+#![allow(clippy::unwrap_used)]
+
+use serde_json::json;
+
+use zinniadrift_lab::doubles::{FlowReport, TargetBehavior};
+use zinniadrift_runtime::daemon::Role::{Balancer, Gateway};
+
+use super::processes_world::{Answer, World};
+
+fn assert_unbroken(report: &FlowReport, flows: u32) {
+    let seen = (report.opened, report.broken, report.silent);
+    assert_eq!(seen, (flows, 0, 0), "{report:?}");
+}
+
+/// Checks that an answer tells the truth about the number of runs.
+fn assert_truthful(answer: &Answer, runs: u64) {
+    assert!(runs <= 1, "{runs} runs of one key");
+    match &*answer.outcome {
+        "done" => assert_eq!(runs, 1, "{answer:?}"),
+        "not run" => assert_eq!(runs, 0, "{answer:?}"),
+        _ => {}
+    }
+}
+
+fn slow() -> TargetBehavior {
+    TargetBehavior {
+        service_ms: 2_000,
+        slots: 8,
+        ..TargetBehavior::default()
+    }
+}
+
+/// Guards G1 and G6: a drain moves no open flow and keeps new flows away from the target.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drain_under_open_flows() {
+    let mut world = World::start(0, 3).await;
+    world.plan(Balancer, 3);
+    let daemons = [0, 1, 2].map(|i| world.run(Balancer, i));
+    let balancers: Vec<_> = daemons.iter().collect();
+    world.apply(3, &[]).await;
+    world.serving(1, &balancers).await;
+    let mut early = world.caller(1, &balancers).await;
+    early.open(90).await.unwrap();
+    assert!(early.report().flows_per_target.contains_key("t1"));
+    world.apply(3, &[1]).await;
+    world.serving(2, &balancers).await;
+    let mut late = world.caller(2, &balancers).await;
+    late.open(90).await.unwrap();
+    early.send_round().await.unwrap();
+    late.send_round().await.unwrap();
+    assert_unbroken(&early.report(), 90);
+    assert_unbroken(&late.report(), 90);
+    assert!(!late.report().flows_per_target.contains_key("t1"));
+}
+
+/// Guards the replication of exceptions: flows that the base table does not reproduce survive the
+/// death of the balancer that placed them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn balancer_killed_under_open_flows() {
+    let mut world = World::start(1, 3).await;
+    world.plan(Balancer, 3);
+    let mut daemons = [0, 1, 2].map(|i| world.run(Balancer, i));
+    world.apply(3, &[]).await;
+    world.serving(1, &daemons.iter().collect::<Vec<_>>()).await;
+    world.apply(3, &[0]).await;
+    world.serving(2, &daemons.iter().collect::<Vec<_>>()).await;
+    let mut caller = world.caller(1, &daemons.iter().collect::<Vec<_>>()).await;
+    caller.open(120).await.unwrap();
+    daemons[0].kill();
+    caller.set_balancers(vec![daemons[1].cfg.listen, daemons[2].cfg.listen]);
+    caller.send_round().await.unwrap();
+    world.recorded(&daemons[1], "balancer-0 dead").await;
+    caller.send_round().await.unwrap();
+    caller.open(60).await.unwrap();
+    caller.send_round().await.unwrap();
+    assert_unbroken(&caller.report(), 180);
+}
+
+/// Guards the resynchronisation after a pause: the balancer missed exceptions and must not send
+/// their flows to the base target.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn balancer_paused_past_dead_timeout() {
+    let mut world = World::start(2, 3).await;
+    world.plan(Balancer, 3);
+    let daemons = [0, 1, 2].map(|i| world.run(Balancer, i));
+    let all: Vec<_> = daemons.iter().collect();
+    world.apply(3, &[]).await;
+    world.serving(1, &all).await;
+    let mut caller = world.caller(1, &all[1..]).await;
+    caller.open(60).await.unwrap();
+    daemons[0].signal("STOP");
+    world.recorded(&daemons[1], "balancer-0 dead").await;
+    world.apply(3, &[0]).await;
+    world.serving(2, &all[1..]).await;
+    caller.open(60).await.unwrap();
+    daemons[0].signal("CONT");
+    caller.set_balancers(vec![daemons[0].cfg.listen]);
+    caller.send_round().await.unwrap();
+    world.serving(2, &all).await;
+    caller.set_balancers(all.iter().map(|d| d.cfg.listen).collect());
+    caller.send_round().await.unwrap();
+    assert_unbroken(&caller.report(), 120);
+}
+
+/// Guards the start from seeds: without the platform a newcomer gets settings and exceptions from
+/// its peers and then serves old and new flows alike.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn newcomer_during_platform_outage() {
+    let mut world = World::start(3, 3).await;
+    world.plan(Balancer, 3);
+    let first = [0, 1].map(|i| world.run(Balancer, i));
+    let balancers: Vec<_> = first.iter().collect();
+    world.apply(3, &[]).await;
+    world.serving(1, &balancers).await;
+    world.apply(3, &[2]).await;
+    world.serving(2, &balancers).await;
+    let mut caller = world.caller(1, &balancers).await;
+    caller.open(60).await.unwrap();
+    world.faults(&json!({ "down": true })).await;
+    let newcomer = world.run(Balancer, 2);
+    world.recorded(&newcomer, "serving").await;
+    caller.set_balancers(vec![newcomer.cfg.listen]);
+    caller.send_round().await.unwrap();
+    caller.open(60).await.unwrap();
+    caller.set_balancers(vec![first[0].cfg.listen, first[1].cfg.listen]);
+    caller.send_round().await.unwrap();
+    assert_unbroken(&caller.report(), 120);
+}
+
+/// Guards G7: a balancer that is asked to stop ends by itself, and no flow notices.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn balancer_stops_gracefully() {
+    let mut world = World::start(4, 2).await;
+    world.plan(Balancer, 2);
+    let mut daemons = [0, 1].map(|i| world.run(Balancer, i));
+    world.apply(2, &[]).await;
+    world.serving(1, &daemons.iter().collect::<Vec<_>>()).await;
+    let mut caller = world.caller(1, &daemons.iter().collect::<Vec<_>>()).await;
+    caller.open(60).await.unwrap();
+    daemons[0].signal("TERM");
+    world.recorded(&daemons[0], "leaving").await;
+    caller.send_round().await.unwrap();
+    caller.set_balancers(vec![daemons[1].cfg.listen]);
+    world.recorded(&daemons[0], "stopped").await;
+    caller.send_round().await.unwrap();
+    assert_unbroken(&caller.report(), 60);
+    world.ended(&mut daemons[0]).await;
+}
+
+/// Guards G4 and G5: another gateway neither repeats the work of a killed one nor denies it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn gateway_killed_in_mid_request() {
+    let mut world = World::start(5, 2).await;
+    world.plan(Gateway, 2);
+    let mut daemons = [0, 1].map(|i| world.run(Gateway, i));
+    world.apply(2, &[]).await;
+    world.serving(1, &daemons.iter().collect::<Vec<_>>()).await;
+    for target in 0..2 {
+        world.control(target, &slow()).await;
+    }
+    let (first, second) = (daemons[0].cfg.listen, daemons[1].cfg.listen);
+    let kill = async {
+        world
+            .eventually("the work started", async || world.runs(2, "k").await == 1)
+            .await;
+        daemons[0].kill();
+    };
+    let (lost, ()) = tokio::join!(world.post(first, "k"), kill);
+    assert!(lost.is_none(), "{lost:?}");
+    let answer = world.post(second, "k").await.unwrap();
+    assert_ne!(answer.outcome, "not run", "{answer:?}");
+    assert_truthful(&answer, world.runs(2, "k").await);
+}
+
+/// Guards G5 against a holder that wakes up late: its claim is never free to run again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn gateway_paused_past_every_timeout() {
+    let mut world = World::start(6, 2).await;
+    world.plan(Gateway, 2);
+    let daemons = [0, 1].map(|i| world.run(Gateway, i));
+    world.apply(2, &[]).await;
+    world.serving(1, &daemons.iter().collect::<Vec<_>>()).await;
+    for target in 0..2 {
+        world.control(target, &slow()).await;
+    }
+    let (first, second) = (daemons[0].cfg.listen, daemons[1].cfg.listen);
+    let pause = async {
+        world
+            .eventually("the work started", async || world.runs(2, "k").await == 1)
+            .await;
+        daemons[0].signal("STOP");
+        world.recorded(&daemons[1], "live gateways: ").await;
+        let answer = world.post(second, "k").await.unwrap();
+        daemons[0].signal("CONT");
+        answer
+    };
+    let (early, late) = tokio::join!(world.post(first, "k"), pause);
+    let runs = world.runs(2, "k").await;
+    assert_ne!(late.outcome, "not run", "{late:?}");
+    assert_truthful(&late, runs);
+    if let Some(early) = early {
+        assert_truthful(&early, runs);
+    }
+    // The key stays taken after the holder woke up.
+    let again = world.post(second, "k").await.unwrap();
+    assert_truthful(&again, world.runs(2, "k").await);
+}
+
+/// Guards the token read-back: a claim whose write took effect without an answer is used once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn platform_loses_answers_of_writes() {
+    let mut world = World::start(7, 2).await;
+    world.plan(Gateway, 2);
+    let daemons = [0, 1].map(|i| world.run(Gateway, i));
+    world.apply(2, &[]).await;
+    world.serving(1, &daemons.iter().collect::<Vec<_>>()).await;
+    for i in 0..10 {
+        world.faults(&json!({ "lose_answers": 1 })).await;
+        let key = format!("k{i}");
+        let gateway = daemons[i % 2].cfg.listen;
+        let answer = world.post(gateway, &key).await.unwrap();
+        assert_truthful(&answer, world.runs(2, &key).await);
+        let other = daemons[(i + 1) % 2].cfg.listen;
+        let again = world.post(other, &key).await.unwrap();
+        assert_truthful(&again, world.runs(2, &key).await);
+    }
+}
--- /dev/null
+++ b/tests/testsuite/processes_world.rs
@@ -0,0 +1,362 @@
+//! Runs daemons as processes on loopback addresses of their own, with doubles around them.
+
+#![allow(clippy::unwrap_used)]
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request};
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::time::{Instant, sleep};
+
+use zinniadrift_lab::doubles::{
+    Caller, CallerSettings, TargetBehavior, TargetSettings, serve_platform, serve_target,
+};
+use zinniadrift_platform::{HttpStore, SettingsRepository};
+use zinniadrift_runtime::daemon::{DaemonSettings, Role, Seed};
+use zinniadrift_runtime::timeline::{Collector, Filter, serve_collector};
+
+/// The time in which a change must become visible, on a machine that may be very busy.
+const PATIENCE: Duration = Duration::from_secs(60);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+const USER: &str = "granite";
+const SERVICE: &str = "127.20.0.1:443";
+const ANSWER_PORT: u16 = 6_090;
+
+/// Is one answer of a gateway.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) outcome: String,
+}
+
+/// Is a daemon process, which is killed when it is dropped.
+pub(crate) struct Daemon {
+    child: Child,
+    pub(crate) cfg: DaemonSettings,
+    log: PathBuf,
+}
+
+/// Holds the doubles of one test; the daemons belong to the test.
+pub(crate) struct World {
+    net: [u8; 2],
+    dir: PathBuf,
+    seeds: Vec<Seed>,
+    collector: Arc<Collector>,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+/// Builds the daemons once; `cargo test` alone builds no binaries of other packages.
+fn binaries() -> &'static PathBuf {
+    static DIR: OnceLock<PathBuf> = OnceLock::new();
+    DIR.get_or_init(|| {
+        let mut build = Command::new(env!("CARGO"));
+        build.args(["build", "--quiet"]);
+        build.args(["-p", "zinniadrift-balancer", "-p", "zinniadrift-gateway"]);
+        if !cfg!(debug_assertions) {
+            build.arg("--release");
+        }
+        assert!(
+            build.status().unwrap().success(),
+            "the daemons do not build"
+        );
+        let test = std::env::current_exe().unwrap();
+        test.parent().unwrap().parent().unwrap().to_path_buf()
+    })
+}
+
+impl World {
+    /// Starts platform, time line collector and `targets` targets; `number` is unique per test.
+    ///
+    /// Two runs of the test suite use different addresses, because these come from the process id.
+    pub(crate) async fn start(number: u8, targets: u8) -> Self {
+        let pid = std::process::id();
+        let net = [
+            64 + (pid % 128) as u8,
+            ((pid / 128) % 16) as u8 * 16 + number,
+        ];
+        let dir = std::env::temp_dir().join(format!("zinniadrift-{pid}-{number}"));
+        std::fs::create_dir_all(&dir).unwrap();
+        let world = Self {
+            net,
+            dir,
+            seeds: Vec::new(),
+            collector: Arc::new(Collector::new(100_000)),
+            client: Client::builder(TokioExecutor::new()).build_http(),
+        };
+        let listener = TcpListener::bind(world.platform()).await.unwrap();
+        tokio::spawn(serve_platform(listener, std::future::pending()));
+        let listener = TcpListener::bind(world.address(2, 7_900)).await.unwrap();
+        let collector = world.collector.clone();
+        tokio::spawn(serve_collector(listener, collector, std::future::pending()));
+        for i in 0..targets {
+            let cfg = TargetSettings {
+                name: format!("t{i}").into(),
+                listen: world.target(i),
+                caller_port: ANSWER_PORT,
+                behavior: TargetBehavior::default(),
+            };
+            tokio::spawn(serve_target(cfg, std::future::pending()));
+        }
+        world
+    }
+
+    fn address(&self, host: u8, port: u16) -> SocketAddr {
+        let [a, b] = self.net;
+        (Ipv4Addr::new(127, a, b, host), port).into()
+    }
+
+    fn platform(&self) -> SocketAddr {
+        self.address(1, 7_000)
+    }
+
+    pub(crate) fn target(&self, i: u8) -> SocketAddr {
+        self.address(50 + i, 7_300)
+    }
+
+    /// Names the daemons that know each other from the start.
+    pub(crate) fn plan(&mut self, role: Role, count: u8) {
+        for i in 0..count {
+            self.seeds.push(Seed {
+                name: format!("{role}-{i}").into(),
+                role,
+                zone: "lowell".into(),
+                address: self.address(host_of(role) + i, 7_110),
+            });
+        }
+    }
+
+    /// Starts a planned daemon.
+    pub(crate) fn run(&self, role: Role, i: u8) -> Daemon {
+        let name = format!("{role}-{i}");
+        let cfg = DaemonSettings {
+            name: name.clone().into(),
+            user: USER.into(),
+            zone: "lowell".into(),
+            listen: self.address(host_of(role) + i, 7_100),
+            peer: self.address(host_of(role) + i, 7_110),
+            platform: self.platform(),
+            seeds: self.seeds.clone(),
+            statsd: None,
+            timeline: Some(self.address(2, 7_900)),
+            drain_quiet_ms: Some(500),
+            drain_deadline_ms: Some(10_000),
+        };
+        let path = self.dir.join(format!("{name}.json"));
+        std::fs::write(&path, serde_json::to_vec(&cfg).unwrap()).unwrap();
+        let log = self.dir.join(format!("{name}.log"));
+        let out = std::fs::File::create(&log).unwrap();
+        let child = Command::new(binaries().join(format!("zinniadrift-{role}")))
+            .arg("--config")
+            .arg(path)
+            .stdin(Stdio::null())
+            .stdout(out.try_clone().unwrap())
+            .stderr(out)
+            .spawn()
+            .unwrap();
+        Daemon { child, cfg, log }
+    }
+
+    /// Puts settings in the platform; targets named in `draining` are draining.
+    pub(crate) async fn apply(&self, targets: u8, draining: &[u8]) {
+        let targets: serde_json::Map<String, Value> = (0..targets)
+            .map(|i| {
+                let state = if draining.contains(&i) {
+                    "draining"
+                } else {
+                    "active"
+                };
+                let target = json!({
+                    "address": self.target(i), "zone": "lowell", "state": state, "slots": 8,
+                });
+                (format!("t{i}"), target)
+            })
+            .collect();
+        let tree = json!({ "nodes": { USER: { "nodes": { "gradebook": {
+            "policies": { "flows": { "ramp_s": 1 } },
+            "service": { "address": SERVICE }, "targets": targets,
+        } } } } });
+        let repository = SettingsRepository::new(HttpStore::new(self.platform()), USER);
+        let tree = serde_json::from_value(tree).unwrap();
+        repository.apply(tree).await.unwrap();
+    }
+
+    /// Waits until the daemons serve with a version in their status objects.
+    pub(crate) async fn serving(&self, version: u64, names: &[&Daemon]) {
+        let repository = SettingsRepository::new(HttpStore::new(self.platform()), USER);
+        let what = format!("version {version} in force");
+        self.eventually(&what, async || {
+            let statuses = repository.statuses().await.unwrap_or_default();
+            names.iter().all(|d| {
+                let own = statuses.iter().find(|s| s.name == d.cfg.name);
+                own.is_some_and(|s| {
+                    s.version.get() >= version && s.state.as_deref() == Some("serving")
+                })
+            })
+        })
+        .await;
+    }
+
+    /// Waits until the time line holds an event of a host with this text.
+    pub(crate) async fn recorded(&self, host: &Daemon, text: &str) {
+        let filter = Filter {
+            host: Some(host.cfg.name.clone()),
+            ..Filter::default()
+        };
+        let what = format!("{}: {text}", host.cfg.name);
+        self.eventually(&what, async || {
+            let events = self.collector.select(&filter);
+            events.iter().any(|e| e.text.contains(text))
+        })
+        .await;
+    }
+
+    /// Polls a condition until it holds.
+    pub(crate) async fn eventually(&self, what: &str, condition: impl AsyncFn() -> bool) {
+        let deadline = Instant::now() + PATIENCE;
+        while !condition().await {
+            assert!(Instant::now() < deadline, "did not happen: {what}");
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// Waits until a process ended by itself without an error.
+    pub(crate) async fn ended(&self, daemon: &mut Daemon) {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = daemon.child.try_wait().unwrap() {
+                assert!(status.success(), "{} ended with {status}", daemon.cfg.name);
+                return;
+            }
+            assert!(Instant::now() < deadline, "{} did not end", daemon.cfg.name);
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// Returns a caller at an address of its own that sprays packets over the balancers.
+    pub(crate) async fn caller(&self, number: u8, balancers: &[&Daemon]) -> Caller {
+        let SocketAddr::V4(address) = self.address(100 + number, ANSWER_PORT) else {
+            unreachable!();
+        };
+        Caller::bind(CallerSettings {
+            address: *address.ip(),
+            answer_port: ANSWER_PORT,
+            service: SERVICE.parse().unwrap(),
+            balancers: balancers.iter().map(|d| d.cfg.listen).collect(),
+            flows: 0,
+            rounds: 0,
+            round_interval: Duration::ZERO,
+            seed: u64::from(number),
+        })
+        .await
+        .unwrap()
+    }
+
+    /// Sends a POST with an idempotency key through a gateway; `None` if the connection broke.
+    pub(crate) async fn post(&self, gateway: SocketAddr, key: &str) -> Option<Answer> {
+        let req = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{gateway}/services/granite/gradebook/file"))
+            .header("idempotency-key", key)
+            .header("x-deadline-ms", "20000");
+        let req = req.body(Full::new(Bytes::from("grade"))).unwrap();
+        let resp = self.client.request(req).await.ok()?;
+        let outcome = resp.headers().get("x-zinniadrift-outcome")?;
+        let outcome = outcome.to_str().unwrap().to_owned();
+        resp.into_body().collect().await.ok()?;
+        Some(Answer { outcome })
+    }
+
+    /// Changes the behavior of a target.
+    pub(crate) async fn control(&self, target: u8, behavior: &TargetBehavior) {
+        let body = serde_json::to_value(behavior).unwrap();
+        self.post_json(self.target(target), "control", &body).await;
+    }
+
+    /// Injects faults into the platform.
+    pub(crate) async fn faults(&self, faults: &Value) {
+        self.post_json(self.platform(), "faults", faults).await;
+    }
+
+    /// Returns how often the targets started the work of a key.
+    pub(crate) async fn runs(&self, targets: u8, key: &str) -> u64 {
+        let mut started = 0;
+        for i in 0..targets {
+            let uri = format!("http://{}/runs", self.target(i)).parse().unwrap();
+            let resp = self.client.get(uri).await.unwrap();
+            let body = resp.into_body().collect().await.unwrap().to_bytes();
+            let runs: Value = serde_json::from_slice(&body).unwrap();
+            started += runs[key]["started"].as_u64().unwrap_or(0);
+        }
+        started
+    }
+
+    async fn post_json(&self, to: SocketAddr, path: &str, body: &Value) {
+        let req = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{to}/{path}"))
+            .header("content-type", "application/json");
+        let req = req.body(Full::new(Bytes::from(body.to_string()))).unwrap();
+        let resp = self.client.request(req).await.unwrap();
+        assert!(resp.status().is_success(), "{path}: {}", resp.status());
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            for event in self.collector.select(&Filter::default()) {
+                eprintln!(
+                    "{} {} {}: {}",
+                    event.shown_time(),
+                    event.host,
+                    event.kind,
+                    event.text
+                );
+            }
+        }
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+impl Daemon {
+    /// Kills the process without warning.
+    pub(crate) fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// Sends a signal such as `STOP`, `CONT` or `TERM`.
+    pub(crate) fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-s", name, &pid]).status();
+        assert!(sent.unwrap().success(), "signal {name} not sent");
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            let log = std::fs::read_to_string(&self.log).unwrap_or_default();
+            eprintln!("log of {}:\n{log}", self.cfg.name);
+        }
+        // The process may have ended.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn host_of(role: Role) -> u8 {
+    match role {
+        Role::Balancer => 10,
+        Role::Gateway => 30,
+    }
+}
