--- a/crates/zinniadrift-runtime/src/gateway/driver.rs
+++ b/crates/zinniadrift-runtime/src/gateway/driver.rs
@@ -1,6 +1,5 @@
 use std::collections::HashMap;
 use std::future::pending;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,30 +12,29 @@
 use zinniadrift_core::claim::{BatchId, ClaimVerdict};
 use zinniadrift_core::gateway::{
     AttemptId, AttemptResult, Gateway, GatewayAction, GatewayEvent, GatewaySettings, LoadReport,
-    Notice, Outcome, Peer, RequestId,
+    Notice, Outcome, RequestId,
 };
 use zinniadrift_core::ids::{MemberId, TargetId};
-use zinniadrift_core::membership::{Heartbeat, Host, MemberState};
+use zinniadrift_core::membership::MemberState;
 use zinniadrift_core::settings::ServiceCatalog;
-use zinniadrift_core::units::{MonoTime, Version};
+use zinniadrift_core::units::MonoTime;
 use zinniadrift_platform::HttpStore;
 
 use super::attempt::Finished;
 use super::attempts::Attempts;
 use super::claim_calls::ClaimCalls;
-use super::group::Group;
+use super::peers::Peers;
 use super::pending::{Answered, Pending, is_idempotent};
 use super::store_calls::{read_shard, write_shard};
-use crate::daemon::{DaemonSettings, Role, RunClock, Seed, shutdown_signal};
-use crate::distribution::{DistributionInput, DistributionOutput, MemberAddress};
+use crate::daemon::{DaemonSettings, Role, RunClock, shutdown_signal};
+use crate::distribution::{DistributionInput, DistributionOutput};
 use crate::metrics::{GatewayCounters, REPORT_INTERVAL, Reporter, report_gateway};
-use crate::peer::{ClaimCall, PeerLink, Received};
+use crate::peer::{ClaimCall, PeerLink};
 use crate::status::DaemonStatus;
 use crate::targets::TargetState;
 use crate::timeline::{Recorder, Subject};
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
-const PEER_BATCH: usize = 64;
 
 /// Holds the channels from the daemon's other tasks.
 pub(super) struct Inputs {
@@ -61,7 +59,7 @@
     cfg: DaemonSettings,
     clock: RunClock,
     store: HttpStore,
-    link: PeerLink,
+    peers: Peers,
     recorder: Recorder,
     reporter: Reporter,
     counters: GatewayCounters,
@@ -72,8 +70,6 @@
     calls: FuturesUnordered<BoxFuture<'static, GatewayEvent>>,
     claim_calls: ClaimCalls,
     claim_answers: HashMap<(MemberId, BatchId), oneshot::Sender<Vec<ClaimVerdict>>>,
-    group: Group,
-    live: Vec<MemberAddress>,
     state: MemberState,
     exiting: bool,
 }
@@ -100,15 +96,12 @@
             leave_deadline: leave_deadline.unwrap_or(defaults.leave_deadline),
             ..defaults
         });
-        let mut group = Group::new(member);
-        for seed in cfg.seeds.iter().filter(|s| s.role == Role::Gateway) {
-            group.learn(clock.now(), &Seed::host(seed));
-        }
+        let peers = Peers::new(&cfg, clock.now(), link, outlets.distribution.clone());
         Self {
             core,
             clock,
             store,
-            link,
+            peers,
             recorder,
             reporter: Reporter::new(cfg.statsd, Role::Gateway, &cfg.name),
             counters: GatewayCounters::default(),
@@ -119,8 +112,6 @@
             calls: FuturesUnordered::new(),
             claim_calls: ClaimCalls::new(&cfg.user, member),
             claim_answers: HashMap::new(),
-            group,
-            live: Vec::new(),
             state: MemberState::Starting,
             exiting: false,
             cfg,
@@ -155,17 +146,15 @@
                 Some(event) = self.calls.next() => self.event(event),
                 Some(call) = inputs.claims.recv() => self.take_claims(call),
                 () = timer => self.event(GatewayEvent::Tick),
-                () = self.link.readable() => self.read_peers(),
+                () = self.peers.readable() => self.read_peers(),
                 Some(output) = inputs.outputs.recv() => self.take_output(output).await,
-                Some(statuses) = inputs.statuses.recv() => self.take_statuses(&statuses),
+                Some(statuses) = inputs.statuses.recv() => self.peers.learn(self.clock.now(), &statuses),
                 Some(state) = inputs.reports.recv() => self.take_report(&state),
                 _ = reports.tick() => self.report_metrics(),
                 _ = heartbeats.tick() => self.send_heartbeats().await,
             }
         }
-        for peer in self.group.addresses() {
-            self.link.send(Some(peer), PeerMessage::Goodbye).await;
-        }
+        self.peers.send_all(&PeerMessage::Goodbye).await;
         self.set_state(MemberState::Stopped);
         self.attempts.shutdown().await;
     }
@@ -236,7 +225,7 @@
                 claims,
             } => {
                 self.counters.claims_forwarded += 1;
-                let address = self.group.address_of(to);
+                let address = self.peers.address_of(to);
                 let call = self.claim_calls.call(address, batch, shard, claims);
                 self.calls.push(Box::pin(call));
             }
@@ -295,7 +284,7 @@
     fn report_metrics(&mut self) {
         let in_progress = self.requests.len() as u64;
         report_gateway(&mut self.reporter, &self.counters, in_progress);
-        self.reporter.common(self.link.counters(), &self.recorder);
+        self.reporter.common(self.peers.counters(), &self.recorder);
     }
 
     fn subject_of(&self, pending: &Pending) -> Subject {
@@ -326,95 +315,37 @@
     }
 
     fn read_peers(&mut self) {
-        for _ in 0..PEER_BATCH {
-            let Some(received) = self.link.try_receive() else {
-                return;
-            };
-            self.take_message(received);
-        }
-    }
-
-    fn take_message(&mut self, received: Received) {
-        let from = received.from;
-        match received.msg {
-            PeerMessage::Heartbeat(h) => {
-                let host = Host {
-                    name: h.name,
-                    zone: h.zone,
-                    address: h.address,
-                };
-                if h.state == MemberState::Leaving {
-                    self.group.leave(from);
-                } else {
-                    self.group.hear(self.now(), &host);
-                }
-                self.report_version(from, Some(h.address), h.settings_version);
-            }
-            PeerMessage::SettingsNotice { version } => self.report_version(from, None, version),
-            PeerMessage::Goodbye => self.group.leave(from),
-            // Messages about flows concern balancers only.
-            _ => {}
-        }
-        self.refresh_group();
+        self.peers.read(self.now());
+        self.refresh_peers();
     }
 
     async fn send_heartbeats(&mut self) {
-        self.group.forget(self.now());
-        self.refresh_group();
-        for address in self.group.addresses() {
-            let heartbeat = Heartbeat {
-                name: self.cfg.name.clone(),
-                zone: self.cfg.zone.clone(),
-                address: self.cfg.peer,
-                state: self.state,
-                synchronised: true,
-                settings_version: self.catalog.version,
-                last_publication: 0,
-                bases: 0,
-                rebases: Vec::new(),
-            };
-            let msg = PeerMessage::Heartbeat(heartbeat);
-            self.link.send(Some(address), msg).await;
-        }
+        let now = self.now();
+        self.refresh_peers();
+        self.peers
+            .send_heartbeats(&self.cfg, now, self.state, &self.catalog)
+            .await;
     }
 
-    /// Tells the core and the distribution when the set of live gateways changed.
-    fn refresh_group(&mut self) {
-        let live = self.group.live(self.now());
-        if live == self.live {
+    /// Tells the core when the set of live gateways changed.
+    fn refresh_peers(&mut self) {
+        let Some(peers) = self.peers.refresh(self.now()) else {
             return;
-        }
-        let names: Vec<String> = live.iter().map(|m| m.address.to_string()).collect();
+        };
+        let live = self.peers.live_addresses();
+        let shown: Vec<String> = live.iter().map(ToString::to_string).collect();
         self.recorder
-            .record("peer", format!("live gateways: {}", names.join(" ")));
-        let addresses: Vec<SocketAddr> = live.iter().map(|m| m.address).collect();
-        self.claim_calls.retain(&addresses);
-        let peers = live.iter().map(Peer::from).collect();
-        let input = DistributionInput::Members(live.clone());
-        if self.outlets.distribution.try_send(input).is_ok() {
-            self.live = live;
-        }
+            .record("peer", format!("live gateways: {}", shown.join(" ")));
+        self.claim_calls.retain(&live);
         self.event(GatewayEvent::Peers(peers));
     }
 
-    fn report_version(&self, from: MemberId, address: Option<SocketAddr>, version: Version) {
-        let input = DistributionInput::PeerVersion {
-            from,
-            address,
-            version,
-        };
-        // A full queue loses a version that the next heartbeat repeats.
-        let _ = self.outlets.distribution.try_send(input);
-    }
-
     async fn take_output(&mut self, output: DistributionOutput) {
         match output {
             DistributionOutput::Install(catalog) => self.install(catalog),
             DistributionOutput::Notify(version) => {
-                for address in self.group.addresses() {
-                    let msg = PeerMessage::SettingsNotice { version };
-                    self.link.send(Some(address), msg).await;
-                }
+                let msg = PeerMessage::SettingsNotice { version };
+                self.peers.send_all(&msg).await;
             }
         }
     }
@@ -431,13 +362,6 @@
         }
     }
 
-    fn take_statuses(&mut self, statuses: &[DaemonStatus]) {
-        let gateways = statuses.iter().filter(|s| s.role == Role::Gateway);
-        for status in gateways.filter(|s| &*s.state != "stopped") {
-            self.group.learn(self.now(), &status.host());
-        }
-    }
-
     fn take_report(&mut self, state: &TargetState) {
         let Some(load) = state.load else {
             return;
--- a/crates/zinniadrift-runtime/src/gateway/mod.rs
+++ b/crates/zinniadrift-runtime/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod front;
 mod group;
 mod headers;
+mod peers;
 mod pending;
 mod store_calls;
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod flows;
 mod flows_scenarios;
 mod flows_world;
+mod metrics;
 mod processes;
 mod processes_world;
 mod report;
