--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod flows_world;
 mod metrics;
 mod processes;
+mod processes_requests;
 mod processes_world;
 mod report;
 mod settings;
--- a/tests/testsuite/processes_world.rs
+++ b/tests/testsuite/processes_world.rs
@@ -36,6 +36,7 @@
 #[derive(Debug)]
 pub(crate) struct Answer {
     pub(crate) outcome: String,
+    pub(crate) status: u16,
 }
 
 /// Is a daemon process, which is killed when it is dropped.
@@ -181,7 +182,10 @@
             })
             .collect();
         let tree = json!({ "nodes": { USER: { "nodes": { "gradebook": {
-            "policies": { "flows": { "ramp_s": 1 } },
+            "policies": {
+                "flows": { "ramp_s": 1 },
+                "requests": { "progress_timeout_ms": 4_000, "max_body_bytes": 1_000 },
+            },
             "service": { "address": SERVICE }, "targets": targets,
         } } } } });
         let repository = SettingsRepository::new(HttpStore::new(self.platform()), USER);
@@ -262,17 +266,31 @@
 
     /// Sends a POST with an idempotency key through a gateway; `None` if the connection broke.
     pub(crate) async fn post(&self, gateway: SocketAddr, key: &str) -> Option<Answer> {
-        let req = Request::builder()
-            .method(Method::POST)
-            .uri(format!("http://{gateway}/services/granite/gradebook/file"))
-            .header("idempotency-key", key)
-            .header("x-deadline-ms", "20000");
-        let req = req.body(Full::new(Bytes::from("grade"))).unwrap();
+        let headers = [("idempotency-key", key), ("x-deadline-ms", "20000")];
+        self.send(gateway, Method::POST, &headers, "grade").await
+    }
+
+    /// Sends a request to the service through a gateway; `None` if the connection broke.
+    pub(crate) async fn send(
+        &self,
+        gateway: SocketAddr,
+        method: Method,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Option<Answer> {
+        let mut req = Request::builder()
+            .method(method)
+            .uri(format!("http://{gateway}/services/granite/gradebook/file"));
+        for (name, value) in headers {
+            req = req.header(*name, *value);
+        }
+        let req = req.body(Full::new(Bytes::from(body.to_owned()))).unwrap();
         let resp = self.client.request(req).await.ok()?;
         let outcome = resp.headers().get("x-zinniadrift-outcome")?;
         let outcome = outcome.to_str().unwrap().to_owned();
+        let status = resp.status().as_u16();
         resp.into_body().collect().await.ok()?;
-        Some(Answer { outcome })
+        Some(Answer { outcome, status })
     }
 
     /// Changes the behavior of a target.
@@ -288,15 +306,20 @@
 
     /// Returns how often the targets started the work of a key.
     pub(crate) async fn runs(&self, targets: u8, key: &str) -> u64 {
-        let mut started = 0;
+        self.count(targets, key, "started").await
+    }
+
+    /// Returns a count of the targets' run logs: `started`, `finished` or `cancelled`.
+    pub(crate) async fn count(&self, targets: u8, key: &str, what: &str) -> u64 {
+        let mut count = 0;
         for i in 0..targets {
             let uri = format!("http://{}/runs", self.target(i)).parse().unwrap();
             let resp = self.client.get(uri).await.unwrap();
             let body = resp.into_body().collect().await.unwrap().to_bytes();
             let runs: Value = serde_json::from_slice(&body).unwrap();
-            started += runs[key]["started"].as_u64().unwrap_or(0);
+            count += runs[key][what].as_u64().unwrap_or(0);
         }
-        started
+        count
     }
 
     async fn post_json(&self, to: SocketAddr, path: &str, body: &Value) {
