--- a/crates/zinniadrift-lab/src/experiments/fleet/simulation.rs
+++ b/crates/zinniadrift-lab/src/experiments/fleet/simulation.rs
@@ -40,7 +40,8 @@
 pub(crate) struct Simulation {
     scale: Scale,
     script: Vec<Change>,
-    misleading: bool,
+    /// The virtual time from which some targets report half of their load.
+    misleading_from: Option<u64>,
     end: u64,
     now: u64,
     rng: Xoshiro256PlusPlus,
@@ -84,14 +85,14 @@
         policy: &str,
         seed: u64,
         scale: Scale,
-        misleading: bool,
+        misleading_from_s: Option<f64>,
     ) -> Self {
         let editor = SettingsEditor::new(user, policies::imbalance_tolerance(policy));
         let catalog = editor.catalog();
         Self {
             scale,
             script: Vec::new(),
-            misleading,
+            misleading_from: misleading_from_s.map(micros),
             end: 0,
             now: 0,
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
@@ -368,7 +369,8 @@
 
     fn report(&mut self) {
         self.queue.push(self.now + REPORT_INTERVAL, Event::Reports);
-        let current = self.targets.reports(&self.catalog, self.misleading);
+        let misleading = self.misleading_from.is_some_and(|t| self.now >= t);
+        let current = self.targets.reports(&self.catalog, misleading);
         for report in self.reports.push(self.now, current) {
             self.policy.report(report);
         }
