--- a/crates/zinniadrift-core/src/lib.rs
+++ b/crates/zinniadrift-core/src/lib.rs
@@ -12,6 +12,8 @@
 //! ```
 
 pub mod balancer;
+pub mod claim;
+pub mod distribution;
 pub mod error;
 pub mod flow;
 pub mod gateway;
--- a/crates/zinniadrift-lab/src/experiments/mod.rs
+++ b/crates/zinniadrift-lab/src/experiments/mod.rs
@@ -1,6 +1,7 @@
 //! Runs the real core under a virtual clock and measures it.
 
 pub mod balance;
+pub mod config;
 mod cost;
 mod experiment;
 mod fleet;
