--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,8 @@
 //! Holds the integration tests, a module per topic.
 
+// A failed unwrap is a failed test.
+#![allow(clippy::unwrap_used)]
+
 mod config;
 mod decoders;
 mod experiments;
