Set the publication rate of the flow scenarios explicitly

The scenario files list exact counts of flows per target, which were recorded at the former default of 20 optional exceptions per second. The expectations are unchanged.

--- a/tests/testsuite/flows_world.rs
+++ b/tests/testsuite/flows_world.rs
@@ -66,6 +66,8 @@
         };
         let mut policies = Policies::default();
         policies.flows.ramp_s = 0;
+        // The scenarios list exact placements, which depend on the rate of optional exceptions.
+        policies.flows.publish_rate = 20.0;
         Self {
             group: Group::new(seed, template),
             names: Vec::new(),
