Do not acknowledge flows of services that the settings do not name yet

Cause: a member dropped such a pin and confirmed it. Ruled out: keeping such pins aside, which needs another bounded table. The new test fails without the change.

Also lets unused optional exceptions add up over ten seconds: at a rate below one per second the bucket never held a whole token, so none was placed.

--- a/crates/zinniadrift-core/src/balancer/packet_path.rs
+++ b/crates/zinniadrift-core/src/balancer/packet_path.rs
@@ -193,11 +193,14 @@
         true
     }
 
-    /// Stores a pin from a peer unless a later one is known; tells whether there was room.
+    /// Stores a pin from a peer unless a later one is known; tells whether it is known now.
+    ///
+    /// It is not if the table is full or if this member's settings do not name the service yet.
     pub(super) fn store_pin(&mut self, now: MonoTime, pin: &Pin) -> bool {
         self.clock.observe(pin.time);
         let Ok(at) = self.services.binary_search_by_key(&pin.service, |s| s.id) else {
-            return true;
+            self.lacks_pins = true;
+            return false;
         };
         let s = &mut self.services[at];
         let hash = s.flows.hash(pin.caller);
--- a/crates/zinniadrift-core/src/balancer/peer_input.rs
+++ b/crates/zinniadrift-core/src/balancer/peer_input.rs
@@ -150,7 +150,7 @@
         for pin in pins {
             stored &= self.store_pin(now, pin);
         }
-        // Without room for a pin the publication counts as not received.
+        // A publication with a pin that cannot be stored counts as not received.
         if !stored {
             return;
         }
--- a/crates/zinniadrift-core/src/balancer/state_machine.rs
+++ b/crates/zinniadrift-core/src/balancer/state_machine.rs
@@ -5,10 +5,11 @@
 use rand::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
 
+use super::sync::Change;
 use super::{
     BalancerAction, BalancerEvent, BalancerSettings, BaseSet, Counters, Handover, Held, Outbox,
-    PeerMessage, Publisher, RebasePhase, ServiceState, SnapshotSource, Sync, TargetReport,
-    TimelineEvent,
+    PeerMessage, Publisher, RebasePhase, ServiceState, SnapshotSource, Sync, SyncLoss,
+    TargetReport, TimelineEvent,
 };
 use crate::ids::{MemberId, ServiceId};
 use crate::membership::{LifeCycle, MemberState, Peers, Stage};
@@ -16,6 +17,9 @@
 use crate::settings::ServiceCatalog;
 use crate::units::{HybridClock, MonoTime, Version};
 
+/// The time over which unused optional exceptions add up, in seconds.
+const OPTIONAL_BURST_S: f64 = 10.0;
+
 /// Chooses the target of each packet that one balancer receives.
 #[derive(Debug)]
 pub struct Balancer {
@@ -38,6 +42,8 @@
     pub(super) sources: Vec<SnapshotSource>,
     /// Base sets of services that the settings do not name yet.
     pub(super) known_bases: Vec<BaseSet>,
+    /// Whether pins were lost because the settings in force do not name their service.
+    pub(super) lacks_pins: bool,
     pub(super) rebase_bytes: TokenBucket,
     pub(super) rebase_due: MonoTime,
     pub(super) started: bool,
@@ -72,6 +78,7 @@
             clock: HybridClock::default(),
             sources: Vec::new(),
             known_bases: Vec::new(),
+            lacks_pins: false,
             rebase_bytes,
             rebase_due: MonoTime::default(),
             started: false,
@@ -243,12 +250,18 @@
         let addresses = self.services.iter().enumerate();
         self.by_address = addresses.map(|(i, s)| (s.address, i)).collect();
         let rates = self.services.iter().map(|s| s.policies.publish_rate);
-        self.optional = rates.map(|r| TokenBucket::new(r, r)).collect();
+        let burst = |rate: f64| (rate * OPTIONAL_BURST_S).ceil();
+        self.optional = rates.map(|r| TokenBucket::new(r, burst(r))).collect();
         self.catalog = catalog;
         out.push(BalancerAction::Timeline(TimelineEvent::Settings(version)));
         out.push(BalancerAction::StateChanged(self.state()));
         self.notify_version(out);
         self.heartbeat_due = now;
+        if std::mem::take(&mut self.lacks_pins) && self.sync.is_done() {
+            let loss = SyncLoss::UnknownService;
+            self.sync.restart(now + self.cfg.join_timeout, loss);
+            self.sync_changed(now, Change::Lost(loss), out);
+        }
     }
 
     fn new_service(
--- a/crates/zinniadrift-core/src/balancer/timeline_event.rs
+++ b/crates/zinniadrift-core/src/balancer/timeline_event.rs
@@ -66,4 +66,6 @@
     Healed,
     /// A peer uses a base set that this member does not know.
     BaseDiffers,
+    /// Peers published flows of a service before the settings that name it arrived.
+    UnknownService,
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod flows_reports;
 mod flows_scenarios;
 mod flows_schedules;
+mod flows_unknown_service;
 mod flows_world;
 mod metrics;
 mod platform_edits;
