Raise the rebase's byte rate and check membership

A rebase at 2,000 bytes/s keeps its service in transition for most of a minute, and every new flow in a moved bucket is published meanwhile.

--- a/crates/zinniadrift-core/src/balancer/settings.rs
+++ b/crates/zinniadrift-core/src/balancer/settings.rs
@@ -54,7 +54,7 @@
             drain_quiet: Duration::from_secs(5),
             drain_deadline: Duration::from_secs(60),
             linger: Duration::from_secs(60),
-            rebase_bytes_per_s: 2_000.0,
+            rebase_bytes_per_s: 16_000.0,
             handover_bytes_per_s: 250_000.0,
             mechanisms: Mechanisms::default(),
         }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod flows_scenarios;
 mod flows_schedules;
 mod flows_world;
+mod membership;
 mod platform_edits;
 mod platform_history;
 mod report;
--- /dev/null
+++ b/tests/testsuite/membership.rs
@@ -0,0 +1,117 @@
+//! Checks the life cycle, the synchronisation and the cost of the messages between members.
+
+use std::time::Duration;
+
+use zinniadrift_core::balancer::{Mechanisms, PeerMessage, SyncLoss, TimelineEvent};
+use zinniadrift_core::flow::Pin;
+use zinniadrift_core::membership::MemberState;
+
+use crate::flows_world::{Wanted, World};
+
+fn world(members: usize) -> World {
+    World::settled(1, Mechanisms::default(), members)
+}
+
+fn state(w: &World, member: usize) -> MemberState {
+    w.group.members[member].core.state()
+}
+
+/// Guards against a member that takes new work before it knows where flows go.
+#[test]
+fn member_serves_only_with_settings_and_synchronised() {
+    let mut w = world(3);
+    let joined = w.join("m9", "bern");
+    assert_eq!(state(&w, joined), MemberState::Starting);
+    // The peers' settings arrive by a pull, without the platform.
+    w.advance(3_000);
+    let timeline = &w.group.members[joined].timeline;
+    let position = |e: TimelineEvent| timeline.iter().position(|(_, x)| *x == e);
+    let serving = position(TimelineEvent::State(MemberState::Serving));
+    assert!(serving.is_some());
+    assert!(position(TimelineEvent::Synchronised) < serving);
+    assert!(position(TimelineEvent::Settings(1.into())) < serving);
+}
+
+/// Guards against a single member that waits for peers that do not exist.
+#[test]
+fn member_without_peers_serves() {
+    let w = world(1);
+    assert_eq!(state(&w, 0), MemberState::Serving);
+}
+
+/// Guards against a leaving member that never stops, and one that stops without notice.
+#[test]
+fn leaving_member_says_goodbye_and_stops() {
+    let mut w = world(3);
+    w.group.leave(0);
+    w.advance(1_000);
+    assert_eq!(state(&w, 0), MemberState::Leaving);
+    w.advance(2_000);
+    assert_eq!(state(&w, 0), MemberState::Stopped);
+    assert_eq!(w.group.members[1].core.live_peers().len(), 1);
+}
+
+/// Guards against messages of an earlier run of a restarted host.
+#[test]
+fn restarted_member_is_a_new_run() {
+    let mut w = world(3);
+    w.want("gradebook", "t0", Some(Wanted::DRAINING));
+    w.edit_all(Duration::ZERO);
+    w.advance(10);
+    w.open("gradebook", 100, 0);
+    w.advance(1_000);
+    w.group.kill(0);
+    w.advance(500);
+    w.group.restart(0);
+    w.advance(5_000);
+    assert_eq!(state(&w, 0), MemberState::Serving);
+    let tally = w.probe(0);
+    assert_eq!((tally.kept, tally.broken), (100, 0));
+}
+
+/// Guards against a pause that goes unnoticed.
+#[test]
+fn pause_is_detected_and_repaired() {
+    let mut w = world(3);
+    w.group.pause(2);
+    w.advance(4_000);
+    w.group.resume(2);
+    w.advance(3_000);
+    let m = &w.group.members[2];
+    let lost = TimelineEvent::Unsynchronised(SyncLoss::Paused);
+    assert!(m.timeline.iter().any(|(_, e)| *e == lost));
+    assert!(m.core.is_synchronised());
+    assert_eq!(m.core.counters().pauses, 1);
+}
+
+/// Guards against control messages at rest beyond the budget of 3,000 bytes per second: eight
+/// members send one heartbeat per second and peer.
+#[test]
+fn messages_at_rest_stay_within_the_budget() {
+    let mut w = world(8);
+    let before = w.group.members[0].bytes_sent();
+    w.advance(20_000);
+    let per_second = (w.group.members[0].bytes_sent() - before) / 20;
+    assert!(per_second < 3_000, "{per_second} bytes per second");
+}
+
+/// Guards against a message that does not fit a datagram of 1,400 bytes.
+#[test]
+fn largest_publication_fits_a_datagram() {
+    let pins = (0..zinniadrift_core::balancer::MAX_PINS as u32).map(|i| Pin {
+        service: i.into(),
+        target: i.into(),
+        time: u64::MAX.into(),
+        caller: "10.0.0.1:65535".parse().expect("an address"),
+    });
+    let msg = PeerMessage::Publish {
+        number: u64::MAX,
+        pins: pins.collect(),
+    };
+    let ip_and_udp = 28;
+    assert!(
+        msg.encoded_len() - ip_and_udp <= 1_400,
+        "{}",
+        msg.encoded_len()
+    );
+}
