--- a/crates/zinniadrift-core/src/balancer/peer_message.rs
+++ b/crates/zinniadrift-core/src/balancer/peer_message.rs
@@ -14,8 +14,12 @@
 const ENVELOPE_BYTES: usize = 28 + 28;
 /// Service, target, time and length prefixes of a group of pins.
 const GROUP_BYTES: usize = 5 + 5 + 9 + 2 + 4;
-/// Address, port and time difference of a pin.
-const PIN_BYTES: usize = 4 + 3 + 3;
+/// Address and port of a pin.
+const PIN_BYTES: usize = 4 + 3;
+/// The time difference of a pin; a group of equal times has none.
+const TIME_BYTES: usize = 3;
+/// Bytes of one publication of old flows, well below [`MAX_PEER_DATAGRAM_BYTES`].
+const OLD_FLOWS_BYTES: usize = 1_200;
 const STATUS_BYTES: usize = 2 + 5 + 2 + 9 + 9 + 4;
 const BASE_TARGET_BYTES: usize = 2 + 5 + 3;
 const MARK_BYTES: usize = 2 + 5 + 9 + 5;
@@ -29,7 +33,7 @@
     Publish {
         /// The number within the sender's incarnation.
         number: u64,
-        /// The assigned flows, at most [`MAX_PINS`].
+        /// The assigned flows; as many as fit a datagram.
         pins: Vec<Pin>,
     },
     /// Confirms that the receiver stored a publication.
@@ -113,9 +117,22 @@
     }
 }
 
+/// Tells whether another old flow fits a publication; all pins have the same time.
+pub(super) fn has_room(pins: usize, targets: usize) -> bool {
+    (targets + 1) * GROUP_BYTES + (pins + 1) * PIN_BYTES <= OLD_FLOWS_BYTES
+}
+
 fn pins_len(pins: &[Pin]) -> usize {
-    let groups = pins
-        .chunk_by(|a, b| (a.service, a.target) == (b.service, b.target))
-        .count();
-    groups * GROUP_BYTES + pins.len() * PIN_BYTES
+    let groups = pins.chunk_by(|a, b| (a.service, a.target) == (b.service, b.target));
+    groups.map(group_len).sum()
+}
+
+fn group_len(pins: &[Pin]) -> usize {
+    let equal = pins.iter().all(|p| p.time == pins[0].time);
+    let pin = if equal {
+        PIN_BYTES
+    } else {
+        PIN_BYTES + TIME_BYTES
+    };
+    GROUP_BYTES + pins.len() * pin
 }
--- a/crates/zinniadrift-core/src/balancer/rebase_step.rs
+++ b/crates/zinniadrift-core/src/balancer/rebase_step.rs
@@ -3,12 +3,13 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::peer_message::has_room;
 use super::{
-    Balancer, BalancerAction, MAX_PINS, PeerMessage, Rebase, RebasePhase, RebaseStatus,
-    ServiceState, TimelineEvent,
+    Balancer, BalancerAction, PeerMessage, Rebase, RebasePhase, RebaseStatus, ServiceState,
+    TimelineEvent,
 };
 use crate::flow::Pin;
-use crate::ids::MemberId;
+use crate::ids::{MemberId, TargetId};
 use crate::membership::{MemberState, Peer};
 use crate::units::MonoTime;
 
@@ -144,7 +145,8 @@
         let mut next = start;
         let mut end = false;
         // Small strides, so that the step ends soon after it has found enough.
-        while pins.len() < MAX_PINS && next < start + STEP_BUCKETS && !end {
+        let mut seen: Vec<TargetId> = Vec::new();
+        while has_room(pins.len(), seen.len()) && next < start + STEP_BUCKETS && !end {
             let cursor = s.flows.sweep(next, 1, |hash, e| {
                 let leftover = !e.is_pinned() && table.owner(hash) != Some(e.target());
                 let mine = !own_share || publisher(&members, Rebase::bucket(hash)) == Some(0);
@@ -153,6 +155,9 @@
                     && let Some(slot) = targets.get(e.target())
                 {
                     e.pin(e.target(), time);
+                    if !seen.contains(&slot.id) {
+                        seen.push(slot.id);
+                    }
                     pins.push(Pin {
                         service: id,
                         target: slot.id,
@@ -177,9 +182,16 @@
         }
     }
 
-    fn publish_old(&mut self, now: MonoTime, pins: Vec<Pin>, out: &mut Vec<BalancerAction>) -> u64 {
+    fn publish_old(
+        &mut self,
+        now: MonoTime,
+        mut pins: Vec<Pin>,
+        out: &mut Vec<BalancerAction>,
+    ) -> u64 {
         self.counters.rebase_published += pins.len() as u64;
         let receivers = self.peers.live().count();
+        // Grouped by target the pins take the fewest bytes.
+        pins.sort_unstable();
         let sample = PeerMessage::Publish {
             number: 0,
             pins: pins.clone(),
