--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod flows_schedules;
 mod flows_unknown_service;
 mod flows_world;
+mod membership;
 mod metrics;
 mod platform_edits;
 mod platform_history;
