--- a/crates/zinniadrift-lab/src/cmd/measure.rs
+++ b/crates/zinniadrift-lab/src/cmd/measure.rs
@@ -1,6 +1,7 @@
 //! Runs an experiment and prints its figures as JSON lines.
 
 use pico_args::Arguments;
+use tracing_subscriber::EnvFilter;
 
 use zinniadrift_lab::experiments::{EXPERIMENTS, Experiment};
 
@@ -12,6 +13,7 @@
     let policy: Option<String> = args.opt_value_from_str("--policy")?;
     let name: String = args.free_from_str()?;
     finish(args)?;
+    log_to_stderr();
     let experiment = find(&name)?;
     for policy in select(experiment, policy.as_deref())? {
         for line in (experiment.run)(policy, seed.unwrap_or(1)) {
@@ -21,6 +23,14 @@
     Ok(())
 }
 
+/// Logs what `RUST_LOG` selects; at `debug`, experiments log each broken flow.
+fn log_to_stderr() {
+    tracing_subscriber::fmt()
+        .with_env_filter(EnvFilter::from_default_env())
+        .with_writer(std::io::stderr)
+        .init();
+}
+
 fn find(name: &str) -> Result<&'static Experiment, LabError> {
     EXPERIMENTS.iter().find(|e| e.name == name).ok_or_else(|| {
         let names: Vec<&str> = EXPERIMENTS.iter().map(|e| e.name).collect();
