--- a/tests/testsuite/decoders.rs
+++ b/tests/testsuite/decoders.rs
@@ -217,6 +217,7 @@
         service: 1.into(),
         version: 3.into(),
         targets: vec![(1.into(), 100.into())],
+        old: vec![(2.into(), 50.into())],
     };
     let mark = PublicationMark {
         member: 1.into(),
@@ -228,6 +229,11 @@
             number: 4,
             pins: pins.clone(),
         },
+        PeerMessage::Handover {
+            number: 5,
+            pins: pins.clone(),
+        },
+        PeerMessage::HandoverAck { number: 5 },
         PeerMessage::SnapshotRequest { id: 1, index: 2 },
         PeerMessage::SnapshotPart {
             id: 1,
