--- a/crates/zinniadrift-lab/src/experiments/fleet/mod.rs
+++ b/crates/zinniadrift-lab/src/experiments/fleet/mod.rs
@@ -3,6 +3,7 @@
 mod change;
 mod event_queue;
 mod flow_record;
+mod period;
 mod report_lag;
 mod scale;
 mod settings_editor;
@@ -14,6 +15,7 @@
 
 pub(crate) use change::{Action, Cause, Change};
 pub(crate) use event_queue::EventQueue;
+pub(crate) use period::Period;
 pub use scale::Scale;
 pub(crate) use simulation::Simulation;
 pub(crate) use tally::Tally;
--- a/crates/zinniadrift-lab/src/experiments/fleet/simulation.rs
+++ b/crates/zinniadrift-lab/src/experiments/fleet/simulation.rs
@@ -14,8 +14,8 @@
 use super::settings_editor::SettingsEditor;
 use super::traffic::Traffic;
 use super::{
-    Action, Cause, Change, EventQueue, MEMBERS, MILLISECOND, SAMPLE_INTERVAL_S, SECOND, Scale,
-    Tally, Targets, UserGroup,
+    Action, Cause, Change, EventQueue, MEMBERS, MILLISECOND, Period, SAMPLE_INTERVAL_S, SECOND,
+    Scale, Tally, Targets, UserGroup,
 };
 use crate::experiments::policies::{self, FlowPolicy};
 use crate::harness::{Delivery, Outcome};
@@ -376,15 +376,24 @@
         }
     }
 
+    fn period(&self) -> Period {
+        let filled = FIRST_FLOW + micros(self.scale.fill_s()) + SAMPLE_INTERVAL_S * SECOND;
+        let first = self.script.first().map_or(self.end, |c| micros(c.at_s));
+        match self.now {
+            now if now <= filled => Period::Fill,
+            now if now <= first => Period::Rest,
+            _ => Period::Script,
+        }
+    }
+
     fn count_second(&mut self) {
         self.queue.push(self.now + SECOND, Event::Second);
         let second = self.now / SECOND;
-        let measured =
-            self.now > FIRST_FLOW + micros(self.scale.fill_s()) + SAMPLE_INTERVAL_S * SECOND;
+        let period = self.period();
         for member in 0..MEMBERS {
             if self.policy.is_running(member) {
                 let total = self.policy.control_bytes(member);
-                self.tally.count_control(member, total, measured);
+                self.tally.count_control(member, total, period);
             }
         }
         if second.is_multiple_of(SAMPLE_INTERVAL_S) {
--- a/crates/zinniadrift-lab/src/experiments/fleet/tally.rs
+++ b/crates/zinniadrift-lab/src/experiments/fleet/tally.rs
@@ -1,6 +1,6 @@
 use hdrhistogram::Histogram;
 
-use super::{Cause, LoadSpread, MEMBERS};
+use super::{Cause, LoadSpread, MEMBERS, Period};
 
 /// The largest time that the histogram of held packets keeps, in microseconds.
 const MAX_HELD_MICROS: u64 = 60_000_000;
@@ -24,6 +24,8 @@
     control_bytes: u64,
     control_member_seconds: u64,
     worst_control_second: u64,
+    rest_control_bytes: u64,
+    rest_member_seconds: u64,
     control_before: [u64; MEMBERS],
     /// The spread of each service at each sample, with the virtual time in seconds.
     pub(crate) spreads: Vec<(f64, Vec<LoadSpread>)>,
@@ -47,6 +49,8 @@
             control_bytes: 0,
             control_member_seconds: 0,
             worst_control_second: 0,
+            rest_control_bytes: 0,
+            rest_member_seconds: 0,
             control_before: [0; MEMBERS],
             spreads: Vec::new(),
         }
@@ -76,11 +80,15 @@
     }
 
     /// Counts one second of a member from its total of control bytes.
-    pub(crate) fn count_control(&mut self, member: usize, total: u64, measured: bool) {
+    pub(crate) fn count_control(&mut self, member: usize, total: u64, period: Period) {
         // A restarted member may start its total again.
         let bytes = total.saturating_sub(self.control_before[member]);
         self.control_before[member] = total;
-        if measured {
+        if period == Period::Rest {
+            self.rest_control_bytes += bytes;
+            self.rest_member_seconds += 1;
+        }
+        if period != Period::Fill {
             self.control_bytes += bytes;
             self.control_member_seconds += 1;
             self.worst_control_second = self.worst_control_second.max(bytes);
@@ -92,6 +100,11 @@
         self.control_bytes as f64 / self.control_member_seconds.max(1) as f64
     }
 
+    /// Returns the mean before the first change of the script.
+    pub(crate) fn control_bytes_per_s_rest(&self) -> f64 {
+        self.rest_control_bytes as f64 / self.rest_member_seconds.max(1) as f64
+    }
+
     /// Returns the control bytes of the worst second of any member.
     pub(crate) const fn worst_control_second(&self) -> u64 {
         self.worst_control_second
@@ -114,6 +127,8 @@
         self.held += &other.held;
         self.control_bytes += other.control_bytes;
         self.control_member_seconds += other.control_member_seconds;
+        self.rest_control_bytes += other.rest_control_bytes;
+        self.rest_member_seconds += other.rest_member_seconds;
         self.worst_control_second = self.worst_control_second.max(other.worst_control_second);
     }
 }
--- a/crates/zinniadrift-lab/src/experiments/flows.rs
+++ b/crates/zinniadrift-lab/src/experiments/flows.rs
@@ -21,7 +21,7 @@
 /// Runs one policy on a population of the given size.
 ///
 /// `control_bytes_per_s` counts both directions and the IP and UDP headers, per running balancer,
-/// from the end of the fill onwards.
+/// from the end of the fill onwards; the figure with the suffix `_rest` ends at the first change.
 pub fn measure(policy: &str, seed: u64, scale: Scale) -> Vec<MeasureLine> {
     let (script, end_s) = script(scale.fill_s() + SETTLE_S);
     let mut total = Tally::default();
@@ -49,6 +49,8 @@
     report.add("state_bytes", total.state_bytes as f64, "bytes");
     let mean = total.control_bytes_per_s();
     report.add("control_bytes_per_s", mean, "bytes/s");
+    let rest = total.control_bytes_per_s_rest();
+    report.add("control_bytes_per_s_rest", rest, "bytes/s");
     let worst = total.worst_control_second() as f64;
     report.add("control_bytes_per_s_worst", worst, "bytes/s");
     report.finish()
