--- a/crates/zinniadrift-core/src/claim/batch_id.rs
+++ b/crates/zinniadrift-core/src/claim/batch_id.rs
@@ -1,7 +1,7 @@
 use derive_more::{Display, From, FromStr, Into};
 use serde::{Deserialize, Serialize};
 
-/// Matches the answer of a shard writer to a forwarded batch, within one run of the sender.
+/// Matches the answer of a shard writer to a forwarded batch; it is unique across gateways.
 #[derive(
     Clone,
     Copy,
--- a/crates/zinniadrift-lab/src/experiments/mod.rs
+++ b/crates/zinniadrift-lab/src/experiments/mod.rs
@@ -9,6 +9,7 @@
 mod measure_line;
 mod policies;
 mod report;
+pub mod requests;
 mod run_groups;
 
 pub use experiment::{EXPERIMENTS, Experiment};
