Scan claim shards only when one changed or is due

The policy single, with an object per claim, spent its time in scans of all shards with a backlog. The scan is now skipped for events that do not touch claims.

--- a/crates/zinniadrift-core/src/claim/claim_writer.rs
+++ b/crates/zinniadrift-core/src/claim/claim_writer.rs
@@ -18,6 +18,9 @@
     down_until: Option<MonoTime>,
     last_op: u64,
     flushing: bool,
+    /// Whether something changed since the last call of `pump`.
+    dirty: bool,
+    wake: Option<MonoTime>,
 }
 
 /// Is a verdict on a change.
@@ -48,6 +51,8 @@
             down_until: None,
             last_op: base,
             flushing: false,
+            dirty: false,
+            wake: None,
         }
     }
 
@@ -64,10 +69,12 @@
     /// Writes completions and releases without waiting for a claim from now on.
     pub(crate) fn flush(&mut self) {
         self.flushing = true;
+        self.dirty = true;
     }
 
     /// Queues a change.
     pub(crate) fn submit(&mut self, shard: ShardId, op: PendingOp) {
+        self.dirty = true;
         let state = self.shards.entry(shard).or_default();
         state.queue.push_back(op);
         if state.queue.len() > BACKLOG_CAPACITY {
@@ -88,6 +95,7 @@
         result: ReadResult,
         out: &mut Vec<ClaimsAction>,
     ) -> Vec<Verdict> {
+        self.dirty = true;
         let Some(state) = self.shards.get_mut(&shard) else {
             return Vec::new();
         };
@@ -118,6 +126,7 @@
         cfg: &ClaimsSettings,
         out: &mut Vec<ClaimsAction>,
     ) -> Vec<Verdict> {
+        self.dirty = true;
         let Some(state) = self.shards.get_mut(&shard) else {
             return Vec::new();
         };
@@ -159,6 +168,9 @@
         cfg: &ClaimsSettings,
         out: &mut Vec<ClaimsAction>,
     ) -> Vec<Verdict> {
+        if !self.dirty && self.wake.is_none_or(|t| now < t) {
+            return Vec::new();
+        }
         let mut done = self.expire(now, cfg, out);
         self.paced_until = None;
         let mut due: Vec<(MonoTime, ShardId)> = Vec::new();
@@ -174,11 +186,20 @@
         if cfg.shards > CACHED_SHARDS {
             self.shards.retain(|_, s| !s.is_idle());
         }
+        self.dirty = false;
+        self.wake = self.find_wake();
         done
     }
 
     /// Returns the next time at which `pump` has something to do.
     pub(crate) fn next_deadline(&self) -> Option<MonoTime> {
+        if self.dirty {
+            return Some(MonoTime::default());
+        }
+        self.wake
+    }
+
+    fn find_wake(&self) -> Option<MonoTime> {
         let shards = self.shards.values().filter_map(|s| {
             if let Some(call) = &s.call {
                 return Some(call.timeout);
--- a/tests/testsuite/requests_history.rs
+++ b/tests/testsuite/requests_history.rs
@@ -166,7 +166,10 @@
                 })
             })
             .collect();
-        workers.into_iter().map(|w| w.join().unwrap()).collect()
+        workers
+            .into_iter()
+            .map(|w| w.join().unwrap_or_else(|p| std::panic::resume_unwind(p)))
+            .collect()
     });
     found.into_iter().flatten().collect()
 }
