--- /dev/null
+++ b/tests/testsuite/claims.rs
@@ -0,0 +1,120 @@
+//! Checks the pure updates of claim shards and the pacing of their writes.
+
+use std::time::Duration;
+
+use proptest::prelude::*;
+use zinniadrift_core::claim::{
+    ClaimChange, ClaimKey, ClaimOp, ClaimShard, ClaimToken, ClaimVerdict, ShardRules, StoredAnswer,
+    WritePacer,
+};
+use zinniadrift_core::ids::MemberId;
+use zinniadrift_core::units::MonoTime;
+
+const TAKE: ClaimChange = ClaimChange::Take {
+    remaining: Duration::from_secs(1),
+};
+
+fn op(key: u128, token: u64, change: ClaimChange) -> ClaimOp {
+    ClaimOp {
+        key: ClaimKey::from(key),
+        token: ClaimToken::from(token),
+        gateway: MemberId::default(),
+        change,
+    }
+}
+
+fn change() -> impl Strategy<Value = ClaimChange> {
+    prop_oneof![
+        3 => Just(TAKE),
+        1 => Just(ClaimChange::Release),
+        1 => Just(ClaimChange::Complete {
+            answer: StoredAnswer::new(200, &"ok".into()),
+        }),
+    ]
+}
+
+proptest! {
+    /// Guards against a lost answer that is settled differently from the write itself: a change
+    /// that is applied again must leave the value as it is.
+    #[test]
+    fn repeated_change_changes_nothing(
+        ops in prop::collection::vec((0..3_u128, 0..4_u64, change()), 1..30),
+    ) {
+        let rules = ShardRules::default();
+        let mut shard = ClaimShard::default();
+        for (key, token, change) in ops {
+            let op = op(key, token, change);
+            shard.apply(&op, 0, &rules);
+            let once = shard.clone();
+            shard.apply(&op, 0, &rules);
+            prop_assert_eq!(&shard, &once);
+        }
+    }
+
+    /// Guards against two holders: between two grants of a key to different claims, the first
+    /// must have been released by its holder.
+    #[test]
+    fn key_has_one_holder(
+        ops in prop::collection::vec((0..2_u128, 0..4_u64, change()), 1..40),
+    ) {
+        let rules = ShardRules::default();
+        let mut shard = ClaimShard::default();
+        let mut holder = [None; 2];
+        for (key, token, change) in ops {
+            let at = key as usize;
+            let released = change == ClaimChange::Release && holder[at] == Some((token, false));
+            let completed = matches!(change, ClaimChange::Complete { .. });
+            let take = change == TAKE;
+            let verdict = shard.apply(&op(key, token, change), u64::MAX / 2, &rules);
+            if take && verdict == ClaimVerdict::Granted {
+                prop_assert!(holder[at].is_none_or(|h| h == (token, false)));
+                holder[at] = Some((token, false));
+            } else if completed && holder[at] == Some((token, false)) {
+                holder[at] = Some((token, true));
+            } else if released {
+                holder[at] = None;
+            }
+        }
+    }
+}
+
+/// Guards against a full shard that drops a live claim to make room.
+#[test]
+fn full_shard_refuses_until_retention() {
+    let rules = ShardRules {
+        capacity: 1,
+        retention_s: 10,
+        ..ShardRules::default()
+    };
+    let mut shard = ClaimShard::default();
+    assert_eq!(
+        shard.apply(&op(1, 1, TAKE), 0, &rules),
+        ClaimVerdict::Granted
+    );
+    assert_eq!(shard.apply(&op(2, 2, TAKE), 9, &rules), ClaimVerdict::Full);
+    assert_eq!(
+        shard.apply(&op(2, 2, TAKE), 10, &rules),
+        ClaimVerdict::Granted
+    );
+}
+
+/// Guards against stored values that another release of the gateway cannot read.
+#[test]
+fn shard_keeps_its_form() {
+    let mut shard = ClaimShard::default();
+    shard.apply(&op(1, 2, TAKE), 3, &ShardRules::default());
+    let json = serde_json::to_string(&shard).unwrap();
+    let expected = r#"{"claims":{"00000000000000000000000000000001":{"t":2,"g":0,"s":3}}}"#;
+    assert_eq!(json, expected);
+    assert_eq!(serde_json::from_str::<ClaimShard>(&json).unwrap(), shard);
+}
+
+/// Guards against a gateway that writes more often than its share of the platform allows.
+#[test]
+fn pacer_keeps_the_rate() {
+    let mut pacer = WritePacer::new();
+    let writes = (0..10_000)
+        .filter(|ms| pacer.take(MonoTime::from_millis(*ms), 20.0).is_ok())
+        .count();
+    assert!((195..=202).contains(&writes), "{writes} writes in 10 s");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Holds the integration tests, a module per topic.
 
+mod claims;
 mod config;
 mod decoders;
 mod experiments;
--- a/tests/testsuite/requests_scenarios.rs
+++ b/tests/testsuite/requests_scenarios.rs
@@ -58,7 +58,7 @@
             mechanisms,
             ..GatewaySettings::default()
         });
-        let catalog = Arc::new(ServiceCatalog::parse(SETTINGS).unwrap());
+        let catalog = Arc::new(ServiceCatalog::parse(SETTINGS).expect("valid settings"));
         let now = MonoTime::from_millis(1_000);
         core.handle(now, GatewayEvent::Settings(catalog), &mut Vec::new());
         Self {
@@ -89,7 +89,7 @@
                 self.handle(GatewayEvent::AttemptFinished { attempt, result }, text);
             }
             ["read", result] => {
-                let (op, shard) = self.call.take().unwrap();
+                let (op, shard) = self.call.take().expect("a call in progress");
                 let result = match *result {
                     "absent" => ReadResult::Absent,
                     _ => ReadResult::Unavailable,
@@ -97,30 +97,33 @@
                 self.handle(GatewayEvent::ShardRead { op, shard, result }, text);
             }
             ["written", result] => {
-                let (op, shard) = self.call.take().unwrap();
+                let (op, shard) = self.call.take().expect("a call in progress");
                 let result = match *result {
                     "lost" => WriteResult::Unavailable,
                     "conflict" => WriteResult::Conflict,
                     revision => WriteResult::Written {
-                        revision: revision.parse().unwrap(),
+                        revision: revision.parse().expect("a well-formed step"),
                     },
                 };
                 self.handle(GatewayEvent::ShardWritten { op, shard, result }, text);
             }
-            ["advance", ms] => self.advance(ms.parse().unwrap(), text),
+            ["advance", ms] => self.advance(ms.parse().expect("a well-formed step"), text),
             // A paused process does not tick; its next event comes late.
-            ["pause", ms] => self.now = self.now + Duration::from_millis(ms.parse().unwrap()),
+            ["pause", ms] => {
+                let pause = ms.parse().expect("a well-formed step");
+                self.now = self.now + Duration::from_millis(pause);
+            }
             other => panic!("unknown step {other:?}"),
         }
     }
 
     fn arrive(&mut self, req: &str, key: Option<IdempotencyKey>, ms: &str, text: &mut String) {
         let event = GatewayEvent::Arrived {
-            req: RequestId::from(req.parse::<u64>().unwrap()),
+            req: RequestId::from(req.parse::<u64>().expect("a well-formed step")),
             service: ServiceId::from_name("svc"),
             idempotent: key.is_none(),
             key,
-            deadline: self.now + Duration::from_millis(ms.parse().unwrap()),
+            deadline: self.now + Duration::from_millis(ms.parse().expect("a well-formed step")),
         };
         self.handle(event, text);
     }
@@ -164,11 +167,11 @@
             GatewayAction::Timeline(notice) => format!("notice: {notice}"),
             other => format!("{other:?}"),
         };
-        writeln!(text, "{shown}").unwrap();
+        writeln!(text, "{shown}").expect("a well-formed step");
     }
 
     fn attempt(&self, number: &str) -> AttemptId {
-        self.attempts[number.parse::<usize>().unwrap() - 1]
+        self.attempts[number.parse::<usize>().expect("a well-formed step") - 1]
     }
 
     fn result(&self, words: &[&str]) -> AttemptResult {
