--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 // A failed unwrap is a failed test.
 #![allow(clippy::unwrap_used)]
 
+mod claims;
 mod config;
 mod decoders;
 mod experiments;
@@ -21,6 +22,7 @@
 mod processes_world;
 mod report;
 mod requests_history;
+mod requests_scenarios;
 mod settings;
 mod settings_distribution;
 mod settings_edits;
