--- a/crates/zinniadrift-core/src/claim/claims.rs
+++ b/crates/zinniadrift-core/src/claim/claims.rs
@@ -1,7 +1,6 @@
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use hashbrown::HashMap;
-
 use super::claim_writer::{ClaimWriter, Verdict};
 use super::{
     BatchId, ClaimChange, ClaimKey, ClaimOp, ClaimVerdict, ClaimsAction, ClaimsSettings, Origin,
@@ -16,8 +15,8 @@
     cfg: ClaimsSettings,
     writer: ClaimWriter,
     choice: WriterChoice,
-    forwards: HashMap<BatchId, Forward>,
-    remotes: HashMap<(MemberId, BatchId), RemoteBatch>,
+    forwards: BTreeMap<BatchId, Forward>,
+    remotes: BTreeMap<(MemberId, BatchId), RemoteBatch>,
     last_batch: u64,
 }
 
@@ -41,12 +40,12 @@
         let mut choice = WriterChoice::default();
         choice.set_members(vec![cfg.member]);
         Self {
-            cfg,
-            writer: ClaimWriter::new(),
+            writer: ClaimWriter::new(cfg.id_base),
             choice,
-            forwards: HashMap::new(),
-            remotes: HashMap::new(),
-            last_batch: 0,
+            forwards: BTreeMap::new(),
+            remotes: BTreeMap::new(),
+            last_batch: cfg.id_base,
+            cfg,
         }
     }
 
@@ -227,7 +226,7 @@
         ops: Vec<PendingOp>,
         out: &mut Vec<ClaimsAction>,
     ) {
-        self.last_batch += 1;
+        self.last_batch = self.last_batch.wrapping_add(1);
         let batch = BatchId::from(self.last_batch);
         out.push(ClaimsAction::Forward {
             to,
--- a/crates/zinniadrift-core/src/claim/shard_state.rs
+++ b/crates/zinniadrift-core/src/claim/shard_state.rs
@@ -13,8 +13,10 @@
     pub(crate) queue: VecDeque<PendingOp>,
     /// The call to the platform in progress.
     pub(crate) call: Option<Call>,
-    /// Whether the answer to the last write was lost and the value is being read back.
-    pub(crate) reading_back: bool,
+    /// Writes in a row whose answer was lost or that the platform refused.
+    pub(crate) failures: u32,
+    /// The time before which nothing is written again after such failures.
+    pub(crate) write_after: MonoTime,
 }
 
 /// Is a shard's value at a revision.
--- a/crates/zinniadrift-lab/src/doubles/caller.rs
+++ b/crates/zinniadrift-lab/src/doubles/caller.rs
@@ -1,5 +1,6 @@
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+use std::ops::Range;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,8 +17,11 @@
 const TTL: u8 = 64;
 const WINDOW: u16 = 1_024;
 const FIRST_PORT: u16 = 10_000;
-const RETRANSMIT: Duration = Duration::from_millis(200);
-const MAX_TRIES: u32 = 25;
+const RETRANSMIT: Duration = Duration::from_millis(100);
+const MAX_TRIES: u32 = 50;
+/// Flows whose packets are on their way at the same time; more would overflow socket buffers.
+const BATCH: usize = 64;
+const PAYLOAD: &[u8] = b"ping";
 
 /// Configures a caller double, which also plays the fabric.
 #[derive(Clone, Debug)]
@@ -52,7 +56,7 @@
     /// Flows that got no answer.
     pub silent: u32,
     /// Flows per target.
-    pub flows_per_target: std::collections::BTreeMap<String, u32>,
+    pub flows_per_target: BTreeMap<String, u32>,
 }
 
 /// Opens flows, sends packets through random balancers and reports what came back.
@@ -61,72 +65,146 @@
 ///
 /// Fails if the socket does.
 pub async fn run_flows(cfg: &CallerSettings) -> std::io::Result<FlowReport> {
-    let socket = UdpSocket::bind((cfg.address, cfg.answer_port)).await?;
-    let mut caller = Caller {
-        cfg,
-        socket,
-        rng: Xoshiro256PlusPlus::seed_from_u64(cfg.seed),
-        report: FlowReport::default(),
-        targets: HashMap::new(),
-        broken: std::collections::HashSet::new(),
-    };
-    caller.round(PacketKind::Open).await?;
+    let mut caller = Caller::bind(cfg.clone()).await?;
+    caller.open(cfg.flows).await?;
     for _ in 0..cfg.rounds {
         tokio::time::sleep(cfg.round_interval).await;
-        caller.round(PacketKind::Middle).await?;
+        caller.send_round().await?;
     }
-    caller.round(PacketKind::Close).await?;
-    Ok(caller.finish())
+    caller.close().await?;
+    Ok(caller.report())
 }
 
-struct Caller<'a> {
-    cfg: &'a CallerSettings,
+/// Holds flows open and checks that each stays on its target.
+#[derive(Debug)]
+pub struct Caller {
+    cfg: CallerSettings,
     socket: UdpSocket,
     rng: Xoshiro256PlusPlus,
     report: FlowReport,
+    opened: u16,
     targets: HashMap<u16, String>,
-    broken: std::collections::HashSet<u16>,
+    broken: HashSet<u16>,
+    silent: HashSet<u16>,
 }
 
-impl Caller<'_> {
+impl Caller {
+    /// Returns a caller without flows.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket cannot be opened.
+    pub async fn bind(cfg: CallerSettings) -> std::io::Result<Self> {
+        let socket = UdpSocket::bind((cfg.address, cfg.answer_port)).await?;
+        let rng = Xoshiro256PlusPlus::seed_from_u64(cfg.seed);
+        Ok(Self {
+            cfg,
+            socket,
+            rng,
+            report: FlowReport::default(),
+            opened: 0,
+            targets: HashMap::new(),
+            broken: HashSet::new(),
+            silent: HashSet::new(),
+        })
+    }
+
+    /// Opens further flows and sends the first data of each.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket does.
+    pub async fn open(&mut self, flows: u16) -> std::io::Result<()> {
+        let first = FIRST_PORT + self.opened;
+        self.opened += flows;
+        for kind in [PacketKind::Open, PacketKind::Middle] {
+            self.round(first..first + flows, kind).await?;
+        }
+        Ok(())
+    }
+
     /// Sends one packet of every flow and repeats it until it is answered.
-    async fn round(&mut self, kind: PacketKind) -> std::io::Result<()> {
-        for i in 0..self.cfg.flows {
-            let port = FIRST_PORT + i;
-            if self.broken.contains(&port) {
-                continue;
-            }
-            if self.exchange(port, kind).await? {
-                self.report.answered += 1;
-                self.report.opened += u32::from(kind == PacketKind::Open);
-            } else {
-                self.report.silent += 1;
-                self.broken.insert(port);
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket does.
+    pub async fn send_round(&mut self) -> std::io::Result<()> {
+        self.round(FIRST_PORT..FIRST_PORT + self.opened, PacketKind::Middle)
+            .await
+    }
+
+    /// Closes all flows.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket does.
+    pub async fn close(&mut self) -> std::io::Result<()> {
+        self.round(FIRST_PORT..FIRST_PORT + self.opened, PacketKind::Close)
+            .await
+    }
+
+    /// Sends packets through these balancers from now on.
+    pub fn set_balancers(&mut self, balancers: Vec<SocketAddr>) {
+        self.cfg.balancers = balancers;
+    }
+
+    /// Returns what the caller saw so far.
+    pub fn report(&self) -> FlowReport {
+        let mut report = self.report.clone();
+        report.broken = self.broken.len() as u32;
+        report.silent = self.silent.len() as u32;
+        for name in self.targets.values() {
+            *report.flows_per_target.entry(name.clone()).or_default() += 1;
+        }
+        report
+    }
+
+    /// Sends one packet of each flow and repeats those that are not answered.
+    async fn round(&mut self, ports: Range<u16>, kind: PacketKind) -> std::io::Result<()> {
+        let ports: Vec<u16> = ports
+            .filter(|p| !self.broken.contains(p) && !self.silent.contains(p))
+            .collect();
+        for chunk in ports.chunks(BATCH) {
+            let waiting = self.exchange(chunk, kind).await?;
+            let answered = (chunk.len() - waiting.len()) as u32;
+            self.report.answered += answered;
+            if kind == PacketKind::Open {
+                self.report.opened += answered;
             }
+            self.silent.extend(waiting);
         }
         Ok(())
     }
 
-    async fn exchange(&mut self, port: u16, kind: PacketKind) -> std::io::Result<bool> {
+    /// Returns the flows that were not answered.
+    async fn exchange(&mut self, ports: &[u16], kind: PacketKind) -> std::io::Result<Vec<u16>> {
         let mut buf = vec![0; MAX_DATAGRAM_BYTES];
+        let mut waiting: HashMap<u16, u32> =
+            ports.iter().map(|p| (*p, self.rng.next_u32())).collect();
         for _ in 0..MAX_TRIES {
-            let via = self.cfg.balancers[self.rng.random_range(0..self.cfg.balancers.len())];
-            let datagram = Frame::encode(&self.packet(port, kind), false);
-            self.socket.send_to(&datagram, via).await?;
+            for (port, seq) in &waiting {
+                let via = self.cfg.balancers[self.rng.random_range(0..self.cfg.balancers.len())];
+                let datagram = Frame::encode(&self.packet(*port, *seq, kind), false);
+                self.socket.send_to(&datagram, via).await?;
+            }
             let deadline = Instant::now() + RETRANSMIT;
-            while let Ok(received) = timeout_at(deadline, self.socket.recv_from(&mut buf)).await {
+            while !waiting.is_empty() {
+                let Ok(received) = timeout_at(deadline, self.socket.recv_from(&mut buf)).await
+                else {
+                    break;
+                };
                 let (len, _) = received?;
-                if self.accept(port, &buf[..len]) {
-                    return Ok(true);
-                }
+                self.accept(&mut waiting, &buf[..len]);
+            }
+            if waiting.is_empty() {
+                break;
             }
         }
-        Ok(false)
+        Ok(waiting.into_keys().collect())
     }
 
-    fn packet(&mut self, port: u16, kind: PacketKind) -> Vec<u8> {
+    fn packet(&self, port: u16, seq: u32, kind: PacketKind) -> Vec<u8> {
         let (caller, service) = (self.cfg.address, self.cfg.service);
-        let seq = self.rng.next_u32();
         let base = PacketBuilder::ipv4(caller.octets(), service.ip().octets(), TTL).tcp(
             port,
             service.port(),
@@ -141,42 +219,43 @@
         };
         let mut packet = Vec::new();
         // Writing to a vector cannot fail for a packet of this size.
-        builder.write(&mut packet, b"ping").unwrap_or_default();
+        builder.write(&mut packet, PAYLOAD).unwrap_or_default();
         packet
     }
 
-    /// Reads an answer; returns whether it belongs to the flow on `port`.
-    fn accept(&mut self, port: u16, datagram: &[u8]) -> bool {
+    /// Reads an answer and removes its flow from `waiting` if it acknowledges the flow's packet.
+    fn accept(&mut self, waiting: &mut HashMap<u16, u32>, datagram: &[u8]) {
         let Ok(frame) = Frame::decode(&Bytes::copy_from_slice(datagram)) else {
-            return false;
+            return;
         };
         let Ok(sliced) = SlicedPacket::from_ip(&frame.packet) else {
-            return false;
+            return;
         };
         let Some(TransportSlice::Tcp(tcp)) = sliced.transport else {
-            return false;
+            return;
+        };
+        let port = tcp.destination_port();
+        let Some(seq) = waiting.get(&port) else {
+            return;
         };
-        if tcp.destination_port() != port {
-            return false;
-        }
         if tcp.rst() {
             self.broken.insert(port);
+            waiting.remove(&port);
+            return;
+        }
+        let acknowledged = tcp.acknowledgment_number().wrapping_sub(*seq);
+        if acknowledged == 0 || acknowledged as usize > PAYLOAD.len() {
+            // The answer to an earlier copy of another packet.
+            return;
         }
+        waiting.remove(&port);
         let name = String::from_utf8_lossy(tcp.payload()).into_owned();
-        if !name.is_empty() {
-            let first = self.targets.entry(port).or_insert_with(|| name.clone());
-            if *first != name {
-                self.broken.insert(port);
-            }
+        if name.is_empty() {
+            return;
         }
-        true
-    }
-
-    fn finish(mut self) -> FlowReport {
-        self.report.broken = self.broken.len() as u32;
-        for name in self.targets.into_values() {
-            *self.report.flows_per_target.entry(name).or_default() += 1;
+        let first = self.targets.entry(port).or_insert_with(|| name.clone());
+        if *first != name {
+            self.broken.insert(port);
         }
-        self.report
     }
 }
--- a/crates/zinniadrift-lab/src/experiments/experiment.rs
+++ b/crates/zinniadrift-lab/src/experiments/experiment.rs
@@ -1,4 +1,4 @@
-use super::{MeasureLine, balance, config, cost, flows};
+use super::{MeasureLine, balance, config, cost, flows, requests};
 
 /// Is an experiment that `measure` can run by name.
 #[derive(Clone, Copy, Debug)]
@@ -17,4 +17,5 @@
     balance::EXPERIMENT,
     cost::EXPERIMENT,
     config::EXPERIMENT,
+    requests::EXPERIMENT,
 ];
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,8 @@
 //! Holds the integration tests, a module per topic.
 
+// A failed unwrap is a failed test.
+#![allow(clippy::unwrap_used)]
+
 mod config;
 mod decoders;
 mod experiments;
@@ -9,9 +12,14 @@
 mod flows_schedules;
 mod flows_world;
 mod membership;
+mod metrics;
 mod platform_edits;
 mod platform_history;
+mod processes;
+mod processes_requests;
+mod processes_world;
 mod report;
+mod requests_history;
 mod settings;
 mod settings_distribution;
 mod settings_edits;
