--- a/crates/zinniadrift-core/src/settings/policies.rs
+++ b/crates/zinniadrift-core/src/settings/policies.rs
@@ -41,7 +41,7 @@
     fn default() -> Self {
         Self {
             imbalance_tolerance: 0.02,
-            publish_rate: 0.5,
+            publish_rate: 0.2,
             idle_timeout_s: 7_200,
             ramp_s: 30,
             ejection_limit: 0.34,
