--- a/crates/zinniadrift-lab/src/experiments/fleet/scale.rs
+++ b/crates/zinniadrift-lab/src/experiments/fleet/scale.rs
@@ -9,6 +9,9 @@
     pub packet_interval_s: f64,
     /// The new flows per second while the population is built up.
     pub fill_rate: f64,
+    /// The time between two steps of a script of changes in seconds; several packet intervals, so
+    /// that a broken flow shows before the next change.
+    pub step_s: f64,
 }
 
 impl Default for Scale {
@@ -18,6 +21,8 @@
             mean_life_s: 7_200.0,
             packet_interval_s: 20.0,
             fill_rate: 1_600.0,
+            // Twelve steps an hour. 1,600 changes a day over 56 groups are one in 50 minutes.
+            step_s: 300.0,
         }
     }
 }
--- a/tests/testsuite/experiments.rs
+++ b/tests/testsuite/experiments.rs
@@ -7,6 +7,7 @@
     mean_life_s: 7_200.0,
     packet_interval_s: 20.0,
     fill_rate: 200.0,
+    step_s: 90.0,
 };
 
 /// More flows with fewer packets, since the spread of few flows is mostly chance.
