--- a/crates/zinniadrift-core/src/balancer/packet_path.rs
+++ b/crates/zinniadrift-core/src/balancer/packet_path.rs
@@ -106,8 +106,8 @@
             && (!self.services[at].flows.is_full() || self.make_room(at));
         let s = &mut self.services[at];
         let old = s.flows.get(hash, &pkt.flow.caller).copied();
-        let bucket = &mut self.optional[at];
-        let may_publish = || optional_allowed && bucket.take(now, 1.0);
+        let (bucket, total) = (&mut self.optional[at], &mut self.optional_total);
+        let may_publish = || optional_allowed && bucket.take(now, 1.0) && total.take(now, 1.0);
         let placed = s.place(now, hash, members, &mut self.rng, may_publish);
         let Some(placed) = placed else {
             return Verdict::Drop(DropReason::NoTarget);
--- a/crates/zinniadrift-core/src/balancer/settings.rs
+++ b/crates/zinniadrift-core/src/balancer/settings.rs
@@ -31,6 +31,9 @@
     pub drain_deadline: Duration,
     /// The time that a flow entry is kept after a FIN or RST.
     pub linger: Duration,
+    /// Optional exceptions per second over all services, so that the control traffic does not grow
+    /// with the number of services.
+    pub optional_publish_rate: f64,
     /// Bytes per second that a rebase may send to all peers together.
     pub rebase_bytes_per_s: f64,
     /// Bytes per second at which a leaving member passes on the flows that it remembers.
@@ -54,6 +57,7 @@
             drain_quiet: Duration::from_secs(5),
             drain_deadline: Duration::from_secs(60),
             linger: Duration::from_secs(60),
+            optional_publish_rate: 0.4,
             rebase_bytes_per_s: 16_000.0,
             handover_bytes_per_s: 250_000.0,
             mechanisms: Mechanisms::default(),
--- a/crates/zinniadrift-core/src/balancer/state_machine.rs
+++ b/crates/zinniadrift-core/src/balancer/state_machine.rs
@@ -31,6 +31,8 @@
     pub(super) services: Vec<ServiceState>,
     /// Limits the optional exceptions of each service.
     pub(super) optional: Vec<TokenBucket>,
+    /// Limits the optional exceptions of all services together.
+    pub(super) optional_total: TokenBucket,
     pub(super) peers: Peers,
     pub(super) publisher: Publisher,
     pub(super) held: Held,
@@ -60,6 +62,7 @@
     /// Returns a balancer that has no settings yet.
     pub fn new(cfg: BalancerSettings) -> Self {
         let handover = Handover::new(cfg.handover_bytes_per_s);
+        let optional_total = bucket_of(cfg.optional_publish_rate);
         let rebase_bytes = TokenBucket::new(cfg.rebase_bytes_per_s, 1.0);
         Self {
             rng: Xoshiro256PlusPlus::seed_from_u64(cfg.seed),
@@ -69,6 +72,7 @@
             by_address: HashMap::new(),
             services: Vec::new(),
             optional: Vec::new(),
+            optional_total,
             peers: Peers::default(),
             publisher: Publisher::default(),
             held: Held::default(),
@@ -250,8 +254,7 @@
         let addresses = self.services.iter().enumerate();
         self.by_address = addresses.map(|(i, s)| (s.address, i)).collect();
         let rates = self.services.iter().map(|s| s.policies.publish_rate);
-        let burst = |rate: f64| (rate * OPTIONAL_BURST_S).ceil();
-        self.optional = rates.map(|r| TokenBucket::new(r, burst(r))).collect();
+        self.optional = rates.map(bucket_of).collect();
         self.catalog = catalog;
         out.push(BalancerAction::Timeline(TimelineEvent::Settings(version)));
         out.push(BalancerAction::StateChanged(self.state()));
@@ -308,3 +311,8 @@
         }
     }
 }
+
+/// Returns the bucket for optional exceptions at a rate per second.
+fn bucket_of(rate: f64) -> TokenBucket {
+    TokenBucket::new(rate, (rate * OPTIONAL_BURST_S).ceil())
+}
--- a/tests/testsuite/flows_world.rs
+++ b/tests/testsuite/flows_world.rs
@@ -62,6 +62,7 @@
             mechanisms,
             drain_quiet: Duration::from_secs(2),
             drain_deadline: Duration::from_secs(20),
+            optional_publish_rate: 20.0,
             ..BalancerSettings::default()
         };
         let mut policies = Policies::default();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod claims;
 mod config;
 mod decoders;
+mod docs;
 mod experiments;
 mod flows;
 mod flows_reports;
--- a/tests/testsuite/processes_world.rs
+++ b/tests/testsuite/processes_world.rs
@@ -55,19 +55,23 @@
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
-/// Builds the daemons once; `cargo test` alone builds no binaries of other packages.
+/// Returns the path of one of our programs.
+pub(crate) fn program(name: &str) -> PathBuf {
+    binaries().join(name)
+}
+
+/// Builds the programs once; `cargo test` alone builds no binaries of other packages.
 fn binaries() -> &'static PathBuf {
     static DIR: OnceLock<PathBuf> = OnceLock::new();
     DIR.get_or_init(|| {
         let mut build = Command::new(env!("CARGO"));
-        build.args(["build", "--quiet"]);
-        build.args(["-p", "zinniadrift-balancer", "-p", "zinniadrift-gateway"]);
+        build.args(["build", "--quiet", "--workspace", "--bins"]);
         if !cfg!(debug_assertions) {
             build.arg("--release");
         }
         assert!(
             build.status().unwrap().success(),
-            "the daemons do not build"
+            "the programs do not build"
         );
         let test = std::env::current_exe().unwrap();
         test.parent().unwrap().parent().unwrap().to_path_buf()
