--- a/tests/testsuite/experiments.rs
+++ b/tests/testsuite/experiments.rs
@@ -1,6 +1,6 @@
 //! Checks the flow experiments on a small population.
 
-use zinniadrift_lab::experiments::{MeasureLine, Scale, balance, flows};
+use zinniadrift_lab::experiments::{EXPERIMENTS, MeasureLine, Scale, balance, flows};
 
 const SMALL: Scale = Scale {
     flows: 6_000,
@@ -60,6 +60,31 @@
         "imbalance_after_change_misleading" <= 1.15;
 }
 
+/// Guards against lost, doubled or mixed work, against a collapse in overload, and against too many
+/// writes to the platform.
+#[test]
+fn requests_stay_within_their_bounds() {
+    const SEED: u64 = 2;
+    let experiment = EXPERIMENTS.iter().find(|e| e.name == "requests").unwrap();
+    let lines = (experiment.run)("default", SEED);
+    for (name, bound) in [
+        ("doubled_runs", 0.0),
+        ("false_not_run", 0.0),
+        ("mixed_or_partial_answers", 0.0),
+        ("p99_ratio", 1.5),
+        ("give_up_to_answer_ms", 10.0),
+        ("store_writes_per_request_100", 2.0),
+        ("store_writes_per_request_2000", 0.1),
+        ("imbalance_rest_slots", 1.05),
+        ("imbalance_after_change_slots", 1.15),
+    ] {
+        let value = figure(&lines, name);
+        assert!(value <= bound, "seed {SEED}: {name} is {value}");
+    }
+    let goodput = figure(&lines, "goodput_at_2x");
+    assert!(goodput >= 0.95, "seed {SEED}: goodput_at_2x is {goodput}");
+}
+
 /// Declares one test per baseline that must break flows, which shows that the check can fail.
 macro_rules! baselines_break_flows {
     ($($name:ident: $policy:literal;)*) => {
