Start the tasks that balancer and gateway share in one place

The two daemons set up recorder, peer link, distribution, status watch, target polls and peer service with the same 60 lines.

--- a/crates/zinniadrift-runtime/src/balancer/driver.rs
+++ b/crates/zinniadrift-runtime/src/balancer/driver.rs
@@ -6,7 +6,6 @@
 
 use bytes::Bytes;
 use tokio::net::UdpSocket;
-use tokio::sync::{mpsc, watch};
 use tokio::time::{MissedTickBehavior, interval, sleep_until};
 
 use zinniadrift_core::balancer::{
@@ -21,7 +20,7 @@
 
 use super::record::record_change;
 use super::{HeldPackets, PacketCounters};
-use crate::daemon::{DaemonSettings, Role, RunClock, Seed, shutdown_signal};
+use crate::daemon::{DaemonSettings, Outlets, Role, RunClock, Seed, SharedInputs, shutdown_signal};
 use crate::distribution::{DistributionInput, DistributionOutput, MemberAddress};
 use crate::geneve::{Frame, MAX_DATAGRAM_BYTES};
 use crate::metrics::{REPORT_INTERVAL, Reporter, report_balancer};
@@ -59,20 +58,6 @@
     exiting: bool,
 }
 
-/// Holds the channels to the daemon's other tasks.
-struct Outlets {
-    distribution: mpsc::Sender<DistributionInput>,
-    catalog: watch::Sender<Arc<ServiceCatalog>>,
-    status: watch::Sender<DaemonStatus>,
-}
-
-/// Holds the channels from the daemon's other tasks.
-pub(super) struct Inputs {
-    pub(super) outputs: mpsc::Receiver<DistributionOutput>,
-    pub(super) statuses: mpsc::Receiver<Vec<DaemonStatus>>,
-    pub(super) reports: mpsc::Receiver<TargetState>,
-}
-
 impl Driver {
     pub(super) fn new(
         cfg: &DaemonSettings,
@@ -117,21 +102,12 @@
     }
 
     /// Connects the channels to the daemon's other tasks.
-    pub(super) fn connect(
-        &mut self,
-        distribution: mpsc::Sender<DistributionInput>,
-        catalog: watch::Sender<Arc<ServiceCatalog>>,
-        status: watch::Sender<DaemonStatus>,
-    ) {
-        self.outlets = Some(Outlets {
-            distribution,
-            catalog,
-            status,
-        });
+    pub(super) fn connect(&mut self, outlets: Outlets) {
+        self.outlets = Some(outlets);
     }
 
     /// Runs until the core says that the process may stop.
-    pub(super) async fn run(&mut self, mut inputs: Inputs) {
+    pub(super) async fn run(&mut self, mut inputs: SharedInputs) {
         let mut housekeeping = interval(HOUSEKEEPING_INTERVAL);
         housekeeping.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut reports = interval(REPORT_INTERVAL);
--- a/crates/zinniadrift-runtime/src/daemon/mod.rs
+++ b/crates/zinniadrift-runtime/src/daemon/mod.rs
@@ -7,6 +7,7 @@
 mod role;
 mod run_clock;
 mod seed;
+mod shared_tasks;
 mod shutdown;
 
 pub use command_line::{CommandLine, Mode, run};
@@ -17,4 +18,5 @@
 pub use role::Role;
 pub use run_clock::RunClock;
 pub use seed::Seed;
+pub(crate) use shared_tasks::{Outlets, SharedInputs, SharedTasks};
 pub use shutdown::shutdown_signal;
--- /dev/null
+++ b/crates/zinniadrift-runtime/src/daemon/shared_tasks.rs
@@ -0,0 +1,175 @@
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use snafu::ResultExt;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::{mpsc, watch};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use zinniadrift_core::ids::MemberId;
+use zinniadrift_core::settings::ServiceCatalog;
+use zinniadrift_core::units::Version;
+use zinniadrift_platform::HttpStore;
+
+use super::daemon_error::BindSnafu;
+use super::{DaemonError, DaemonSettings, Role, RunClock};
+use crate::distribution::{
+    DistributionInput, DistributionOutput, DistributionParts, run_distribution,
+};
+use crate::peer::{ClaimCall, PeerLink, PeerService, serve_peers};
+use crate::status::{DaemonStatus, watch_statuses};
+use crate::targets::{TargetState, poll_targets};
+use crate::timeline::{Clock, Recorder};
+
+const SMALL_QUEUE: usize = 16;
+/// Reports of all targets of a user fit, so that a poll never waits for the driver.
+const REPORT_QUEUE: usize = 256;
+
+/// Runs the tasks that a balancer and a gateway have in common, and holds the ends of their
+/// channels.
+pub(crate) struct SharedTasks {
+    pub(crate) cfg: DaemonSettings,
+    pub(crate) clock: RunClock,
+    pub(crate) tasks: TaskTracker,
+    pub(crate) stop: CancellationToken,
+    pub(crate) recorder: Recorder,
+    pub(crate) store: HttpStore,
+    pub(crate) catalog_rx: watch::Receiver<Arc<ServiceCatalog>>,
+    /// Stops last, so that the time line shows how the daemon ended.
+    stop_recorder: CancellationToken,
+}
+
+/// Holds what the tasks send to a daemon's driver.
+pub(crate) struct SharedInputs {
+    pub(crate) outputs: mpsc::Receiver<DistributionOutput>,
+    pub(crate) statuses: mpsc::Receiver<Vec<DaemonStatus>>,
+    pub(crate) reports: mpsc::Receiver<TargetState>,
+}
+
+/// Holds the channels from a daemon's driver to the tasks.
+pub(crate) struct Outlets {
+    pub(crate) distribution: mpsc::Sender<DistributionInput>,
+    pub(crate) catalog: watch::Sender<Arc<ServiceCatalog>>,
+    pub(crate) status: watch::Sender<DaemonStatus>,
+}
+
+impl SharedTasks {
+    /// Opens the peer sockets and starts the tasks.
+    ///
+    /// `relay` is the address for relayed packets, and `claims` receives the claims of other
+    /// gateways.
+    pub(crate) async fn start(
+        cfg: DaemonSettings,
+        role: Role,
+        relay: Option<SocketAddrV4>,
+        claims: Option<mpsc::Sender<ClaimCall>>,
+    ) -> Result<(Self, PeerLink, SharedInputs, Outlets), DaemonError> {
+        let clock = RunClock::start();
+        let address = || BindSnafu {
+            address: cfg.peer.to_string(),
+        };
+        let calls = TcpListener::bind(cfg.peer).await.context(address())?;
+        let peers = UdpSocket::bind(cfg.peer).await.context(address())?;
+        let (stop, stop_recorder) = (CancellationToken::new(), CancellationToken::new());
+        let tasks = TaskTracker::new();
+        let member = MemberId::from_name(&cfg.name);
+        let incarnation = clock.incarnation();
+        let hybrid = Arc::new(Clock::new(member.get(), incarnation.into()));
+        let recorder = Recorder::start(
+            hybrid.clone(),
+            &cfg.name,
+            &cfg.zone,
+            incarnation.into(),
+            cfg.timeline,
+            &tasks,
+            stop_recorder.clone(),
+        );
+        let link = PeerLink::new(peers, &cfg.user, member, incarnation, relay, hybrid);
+
+        let (distribution, rx) = mpsc::channel(SMALL_QUEUE);
+        let (tx, outputs) = mpsc::channel(SMALL_QUEUE);
+        let (statuses_tx, statuses) = mpsc::channel(SMALL_QUEUE);
+        let (reports_tx, reports) = mpsc::channel(REPORT_QUEUE);
+        let (document, document_rx) = watch::channel((Version::default(), Bytes::new()));
+        let (catalog, catalog_rx) = watch::channel(Arc::<ServiceCatalog>::default());
+        let (status, status_rx) = watch::channel(first_status(&cfg, role, clock));
+        let store = HttpStore::new(cfg.platform);
+        let parts = DistributionParts {
+            cfg: cfg.clone(),
+            clock,
+            store: store.clone(),
+            rx,
+            tx,
+            document,
+            status: status_rx,
+        };
+        tasks.spawn(run_distribution(parts, stop.clone()));
+        let user = cfg.user.clone();
+        tasks.spawn(watch_statuses(
+            store.clone(),
+            user.clone(),
+            statuses_tx,
+            stop.clone(),
+        ));
+        tasks.spawn(poll_targets(catalog_rx.clone(), reports_tx, stop.clone()));
+        let service = PeerService {
+            group: user,
+            document: document_rx,
+            claims,
+        };
+        tasks.spawn(serve_peers(calls, service, stop.clone()));
+        let shared = Self {
+            cfg,
+            clock,
+            tasks,
+            stop,
+            recorder,
+            store,
+            catalog_rx,
+            stop_recorder,
+        };
+        let inputs = SharedInputs {
+            outputs,
+            statuses,
+            reports,
+        };
+        let outlets = Outlets {
+            distribution,
+            catalog,
+            status,
+        };
+        Ok((shared, link, inputs, outlets))
+    }
+
+    /// Records that the daemon runs; no task may be started after this.
+    pub(crate) fn started(&self, role: Role) {
+        self.tasks.close();
+        tracing::info!(name = %self.cfg.name, listen = %self.cfg.listen, "{role} started");
+        let run = format!("run {}", self.clock.incarnation());
+        self.recorder.record("start", run);
+    }
+
+    /// Stops all tasks and waits for them.
+    pub(crate) async fn finish(self, role: Role) {
+        self.recorder.record("stop", "stopped");
+        self.stop.cancel();
+        self.stop_recorder.cancel();
+        drop(self.recorder);
+        self.tasks.wait().await;
+        tracing::info!(name = %self.cfg.name, "{role} stopped");
+    }
+}
+
+fn first_status(cfg: &DaemonSettings, role: Role, clock: RunClock) -> DaemonStatus {
+    DaemonStatus {
+        name: cfg.name.clone(),
+        role,
+        zone: cfg.zone.clone(),
+        incarnation: clock.incarnation(),
+        address: cfg.peer,
+        state: "starting".into(),
+        version: Version::default(),
+    }
+}
--- a/crates/zinniadrift-runtime/src/gateway/driver.rs
+++ b/crates/zinniadrift-runtime/src/gateway/driver.rs
@@ -5,7 +5,7 @@
 
 use futures::future::BoxFuture;
 use futures::stream::{FuturesUnordered, StreamExt};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval, sleep_until};
 
 use zinniadrift_core::balancer::PeerMessage;
@@ -26,11 +26,10 @@
 use super::peers::Peers;
 use super::pending::{Answered, Pending, is_idempotent};
 use super::store_calls::{read_shard, write_shard};
-use crate::daemon::{DaemonSettings, Role, RunClock, shutdown_signal};
-use crate::distribution::{DistributionInput, DistributionOutput};
+use crate::daemon::{DaemonSettings, Outlets, Role, RunClock, SharedInputs, shutdown_signal};
+use crate::distribution::DistributionOutput;
 use crate::metrics::{GatewayCounters, REPORT_INTERVAL, Reporter, report_gateway};
 use crate::peer::{ClaimCall, PeerLink};
-use crate::status::DaemonStatus;
 use crate::targets::TargetState;
 use crate::timeline::{Recorder, Subject};
 
@@ -41,16 +40,7 @@
     pub(super) calls: mpsc::Receiver<Pending>,
     pub(super) cancels: mpsc::UnboundedReceiver<RequestId>,
     pub(super) claims: mpsc::Receiver<ClaimCall>,
-    pub(super) outputs: mpsc::Receiver<DistributionOutput>,
-    pub(super) statuses: mpsc::Receiver<Vec<DaemonStatus>>,
-    pub(super) reports: mpsc::Receiver<TargetState>,
-}
-
-/// Holds the channels to the daemon's other tasks.
-pub(super) struct Outlets {
-    pub(super) distribution: mpsc::Sender<DistributionInput>,
-    pub(super) catalog: watch::Sender<Arc<ServiceCatalog>>,
-    pub(super) status: watch::Sender<DaemonStatus>,
+    pub(super) shared: SharedInputs,
 }
 
 /// Runs one gateway's state machine.
@@ -147,9 +137,9 @@
                 Some(call) = inputs.claims.recv() => self.take_claims(call),
                 () = timer => self.event(GatewayEvent::Tick),
                 () = self.peers.readable() => self.read_peers(),
-                Some(output) = inputs.outputs.recv() => self.take_output(output).await,
-                Some(statuses) = inputs.statuses.recv() => self.peers.learn(self.clock.now(), &statuses),
-                Some(state) = inputs.reports.recv() => self.take_report(&state),
+                Some(output) = inputs.shared.outputs.recv() => self.take_output(output).await,
+                Some(statuses) = inputs.shared.statuses.recv() => self.peers.learn(self.clock.now(), &statuses),
+                Some(state) = inputs.shared.reports.recv() => self.take_report(&state),
                 _ = reports.tick() => self.report_metrics(),
                 _ = heartbeats.tick() => self.send_heartbeats().await,
             }
