--- a/crates/zinniadrift-core/src/gateway/mod.rs
+++ b/crates/zinniadrift-core/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod retry_budget;
 mod service_pool;
 mod state_machine;
+mod target_health;
 mod target_pool;
 mod target_state;
 mod wait_queue;
--- /dev/null
+++ b/crates/zinniadrift-core/src/gateway/target_health.rs
@@ -0,0 +1,87 @@
+use std::time::Duration;
+
+use statig::prelude::*;
+
+use crate::units::MonoTime;
+
+/// Consecutive failures after which a target is ejected.
+const EJECT_AFTER: u32 = 5;
+const EJECTION_TIME: Duration = Duration::from_secs(5);
+/// Ejections after which the ejection time no longer grows.
+const MAX_EJECTIONS: u32 = 6;
+
+/// Tells whether a target is ejected because of its failures.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct TargetHealth {
+    /// Ejections without a success in between.
+    ejections: u32,
+}
+
+/// Is an input of the health machine.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum HealthEvent {
+    /// An attempt succeeded.
+    Success,
+    /// An attempt failed.
+    Failure,
+    /// The service allows the ejection at this time.
+    Eject(MonoTime),
+    /// The ejection ends; one more failure allows the next.
+    Restore,
+}
+
+#[state_machine(initial = "State::admitted(0)", state(derive(Clone, Debug)))]
+impl TargetHealth {
+    #[state]
+    fn admitted(&mut self, failures: &mut u32, event: &HealthEvent) -> Outcome<State> {
+        match event {
+            HealthEvent::Success => {
+                self.ejections = 0;
+                *failures = 0;
+                Handled
+            }
+            HealthEvent::Failure => {
+                *failures += 1;
+                Handled
+            }
+            HealthEvent::Eject(now) => Transition(State::ejected(self.ejected_until(*now))),
+            HealthEvent::Restore => Handled,
+        }
+    }
+
+    #[state]
+    fn ejected(&mut self, until: &MonoTime, event: &HealthEvent) -> Outcome<State> {
+        match event {
+            HealthEvent::Success => {
+                self.ejections = 0;
+                Handled
+            }
+            HealthEvent::Failure => Handled,
+            HealthEvent::Eject(now) => {
+                let later = self.ejected_until(*now).max(*until);
+                Transition(State::ejected(later))
+            }
+            HealthEvent::Restore => Transition(State::admitted(EJECT_AFTER - 1)),
+        }
+    }
+
+    fn ejected_until(&mut self, now: MonoTime) -> MonoTime {
+        self.ejections = (self.ejections + 1).min(MAX_EJECTIONS);
+        now + EJECTION_TIME * self.ejections
+    }
+}
+
+impl State {
+    /// Tells whether the failures ask for an ejection.
+    pub(crate) fn is_failing(&self) -> bool {
+        matches!(self, Self::Admitted { failures } if *failures >= EJECT_AFTER)
+    }
+
+    /// Returns the end of the ejection, if the target is ejected.
+    pub(crate) fn ejected_until(&self) -> Option<MonoTime> {
+        match self {
+            Self::Ejected { until } => Some(*until),
+            Self::Admitted { .. } => None,
+        }
+    }
+}
--- a/crates/zinniadrift-core/src/gateway/target_state.rs
+++ b/crates/zinniadrift-core/src/gateway/target_state.rs
@@ -1,11 +1,14 @@
 use std::time::Duration;
 
+use statig::prelude::*;
+
 use super::LoadReport;
+use super::target_health::{HealthEvent, TargetHealth};
 use crate::settings::Target;
 use crate::units::MonoTime;
 
 /// Is what a gateway has observed of one target.
-#[derive(Clone, Debug)]
+#[derive(Clone, derive_more::Debug)]
 pub(crate) struct TargetState {
     /// The target's settings.
     pub(crate) target: Target,
@@ -16,16 +19,10 @@
     latency: Option<Duration>,
     reported: Option<(f64, MonoTime)>,
     added: Option<MonoTime>,
-    failures: u32,
-    ejections: u32,
-    ejected_until: Option<MonoTime>,
+    #[debug("{:?}", health.state())]
+    health: StateMachine<TargetHealth>,
 }
 
-/// Consecutive failures after which a target is ejected.
-const EJECT_AFTER: u32 = 5;
-const EJECTION_TIME: Duration = Duration::from_secs(5);
-/// Ejections after which the ejection time no longer grows.
-const MAX_EJECTIONS: u32 = 6;
 /// The share of work that a new target gets at once; it must get some to warm up.
 const RAMP_START: f64 = 0.1;
 /// The age at which a report says nothing any more.
@@ -43,14 +40,12 @@
             latency: None,
             reported: None,
             added,
-            failures: 0,
-            ejections: 0,
-            ejected_until: None,
+            health: TargetHealth::default().state_machine(),
         }
     }
 
     pub(crate) fn is_ejected(&self) -> bool {
-        self.ejected_until.is_some()
+        self.ejected_until().is_some()
     }
 
     /// Tells whether the target may get another attempt of this gateway now.
@@ -99,8 +94,7 @@
     }
 
     pub(crate) fn record_success(&mut self, latency: Duration) {
-        self.failures = 0;
-        self.ejections = 0;
+        self.health.handle(&HealthEvent::Success);
         self.latency = Some(match self.latency {
             Some(old) => old.mul_f64(1.0 - LATENCY_WEIGHT) + latency.mul_f64(LATENCY_WEIGHT),
             None => latency,
@@ -109,23 +103,21 @@
 
     /// Counts a failure and tells whether the target should be ejected.
     pub(crate) fn record_failure(&mut self) -> bool {
-        self.failures += 1;
-        self.failures >= EJECT_AFTER && !self.is_ejected()
+        self.health.handle(&HealthEvent::Failure);
+        self.health.state().is_failing()
     }
 
     pub(crate) fn eject(&mut self, now: MonoTime) {
-        self.ejections = (self.ejections + 1).min(MAX_EJECTIONS);
-        self.ejected_until = Some(now + EJECTION_TIME * self.ejections);
+        self.health.handle(&HealthEvent::Eject(now));
     }
 
     pub(crate) fn ejected_until(&self) -> Option<MonoTime> {
-        self.ejected_until
+        self.health.state().ejected_until()
     }
 
     /// Ends the ejection; one more failure ejects the target again.
     pub(crate) fn restore(&mut self) {
-        self.ejected_until = None;
-        self.failures = EJECT_AFTER - 1;
+        self.health.handle(&HealthEvent::Restore);
     }
 
     pub(crate) fn record_report(&mut self, now: MonoTime, report: &LoadReport) {
