--- a/tests/testsuite/flows_schedules.rs
+++ b/tests/testsuite/flows_schedules.rs
@@ -188,8 +188,21 @@
     proptest::collection::vec(step, 1..40)
 }
 
+/// Cases per schedule unless `PROPTEST_CASES` asks for others.
+const DEFAULT_CASES: u32 = 96;
+
+fn config() -> ProptestConfig {
+    let default = ProptestConfig::default();
+    let asked = std::env::var_os("PROPTEST_CASES").is_some();
+    ProptestConfig {
+        cases: if asked { default.cases } else { DEFAULT_CASES },
+        failure_persistence: None,
+        ..default
+    }
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 96, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(config())]
 
     /// Guards against planned changes that move an established flow.
     #[test]
