--- a/crates/zinniadrift-runtime/src/balancer/daemon.rs
+++ b/crates/zinniadrift-runtime/src/balancer/daemon.rs
@@ -23,8 +23,7 @@
         SharedTasks::start(cfg, Role::Balancer, relay, None).await?;
     shared.started(Role::Balancer);
     let recorder = shared.recorder.clone();
-    let mut driver = Driver::new(&shared.cfg, shared.clock, packets, link, recorder);
-    driver.connect(outlets);
+    let mut driver = Driver::new(&shared.cfg, shared.clock, packets, link, recorder, outlets);
     driver.run(inputs).await;
     drop(driver);
     shared.finish(Role::Balancer).await;
--- a/crates/zinniadrift-runtime/src/balancer/driver.rs
+++ b/crates/zinniadrift-runtime/src/balancer/driver.rs
@@ -51,7 +51,7 @@
     zones: HashMap<MemberId, ZoneName>,
     members: Vec<MemberAddress>,
     counters: PacketCounters,
-    outlets: Option<Outlets>,
+    outlets: Outlets,
     seeds: Vec<Host>,
     buf: Box<[u8]>,
     joined: bool,
@@ -65,6 +65,7 @@
         packets: UdpSocket,
         link: PeerLink,
         recorder: Recorder,
+        outlets: Outlets,
     ) -> Self {
         let defaults = BalancerSettings::default();
         let millis = |value: Option<u64>, default| value.map_or(default, Duration::from_millis);
@@ -93,7 +94,7 @@
             zones: HashMap::new(),
             members: Vec::new(),
             counters: PacketCounters::default(),
-            outlets: None,
+            outlets,
             seeds: hosts_of(cfg),
             buf: vec![0; MAX_DATAGRAM_BYTES].into(),
             joined: false,
@@ -101,11 +102,6 @@
         }
     }
 
-    /// Connects the channels to the daemon's other tasks.
-    pub(super) fn connect(&mut self, outlets: Outlets) {
-        self.outlets = Some(outlets);
-    }
-
     /// Runs until the core says that the process may stop.
     pub(super) async fn run(&mut self, mut inputs: SharedInputs) {
         let mut housekeeping = interval(HOUSEKEEPING_INTERVAL);
@@ -279,9 +275,7 @@
         // A removed target keeps its address, because its flows may still be open.
         let targets = catalog.services.iter().flat_map(|s| &s.targets);
         self.targets.extend(targets.map(|t| (t.id, t.address)));
-        if let Some(outlets) = &self.outlets {
-            outlets.catalog.send_replace(catalog.clone());
-        }
+        self.outlets.catalog.send_replace(catalog.clone());
         // A member joins with settings in force: flow entries that it receives earlier would belong
         // to services that it does not know and would be lost.
         let seeds = (!self.joined).then(|| std::mem::take(&mut self.seeds));
@@ -321,15 +315,13 @@
     }
 
     fn report_version(&self, from: MemberId, address: Option<SocketAddr>, version: Version) {
-        if let Some(outlets) = &self.outlets {
-            let input = DistributionInput::PeerVersion {
-                from,
-                address,
-                version,
-            };
-            // A full queue loses a version that the next heartbeat repeats.
-            let _ = outlets.distribution.try_send(input);
-        }
+        let input = DistributionInput::PeerVersion {
+            from,
+            address,
+            version,
+        };
+        // A full queue loses a version that the next heartbeat repeats.
+        let _ = self.outlets.distribution.try_send(input);
     }
 
     fn report_members(&mut self) {
@@ -346,11 +338,8 @@
         if members == self.members {
             return;
         }
-        let Some(outlets) = &self.outlets else {
-            return;
-        };
         let input = DistributionInput::Members(members.clone());
-        if outlets.distribution.try_send(input).is_ok() {
+        if self.outlets.distribution.try_send(input).is_ok() {
             self.members = members;
         }
     }
@@ -365,11 +354,8 @@
     }
 
     fn report_state(&self, state: Box<str>) {
-        let Some(outlets) = &self.outlets else {
-            return;
-        };
         let version = self.core.version();
-        outlets.status.send_if_modified(|status| {
+        self.outlets.status.send_if_modified(|status| {
             let changed = status.state != state || status.version != version;
             status.state = state;
             status.version = version;
