Serve the users' platform: steer flows by a cookie in their packets

The platform returns the last cookie of a flow in each packet, so that any balancer finds the target of an open flow without a table, a peer or the store. core::steering decides, runtime::steering runs it, platform/ translates. The client of the product's object store moves to zinniadrift-store, so that its name is not mistaken for the folder, and its transport serves both clients.

--- a/crates/zinniadrift-core/src/lib.rs
+++ b/crates/zinniadrift-core/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod membership;
 pub mod placement;
 pub mod settings;
+pub mod steering;
 pub mod units;
--- /dev/null
+++ b/crates/zinniadrift-core/src/steering/directory.rs
@@ -0,0 +1,218 @@
+use std::time::Duration;
+
+use hashbrown::{HashMap, HashSet};
+
+use crate::ids::ServiceId;
+use crate::units::MonoTime;
+
+use super::cookie::TargetTag;
+use super::target_state::{Presence, TargetRecord};
+use super::{DirectoryListing, InstanceState, Revision, TargetInstance};
+
+/// Is one change of the store's list of targets.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum TargetChange {
+    /// A target registered or changed its entry.
+    Put(TargetInstance),
+    /// The entry of the named target was removed, or names no usable target any more.
+    Removed(Box<str>),
+}
+
+/// Is the position of a target in the directory.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) struct TargetIndex(u32);
+
+/// Knows all targets that can be behind a cookie: listed, lapsed and ended ones.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    as_of: Revision,
+    records: HashMap<TargetIndex, TargetRecord>,
+    by_name: HashMap<Box<str>, TargetIndex>,
+    /// Holds all targets with a tag; more than one only if hashes collide.
+    by_tag: HashMap<TargetTag, Vec<TargetIndex>>,
+    by_service: HashMap<ServiceId, Vec<TargetIndex>>,
+    next: u32,
+}
+
+impl Directory {
+    /// Returns the revision of the newest state.
+    pub const fn as_of(&self) -> Revision {
+        self.as_of
+    }
+
+    /// Returns the listed targets, for peers that cannot reach the store.
+    pub fn listing(&self) -> DirectoryListing {
+        let listed = self.records.values();
+        let listed = listed.filter(|r| r.presence == Presence::Listed);
+        DirectoryListing {
+            as_of: self.as_of,
+            targets: listed.map(|r| r.instance.clone()).collect(),
+        }
+    }
+
+    /// Returns the number of listed targets.
+    pub fn listed(&self) -> usize {
+        let listed = |r: &&TargetRecord| r.presence == Presence::Listed;
+        self.records.values().filter(listed).count()
+    }
+
+    /// Replaces the state by a full list; an older list than the present state is ignored.
+    ///
+    /// Returns whether the list was taken.
+    pub(crate) fn replace(&mut self, listing: DirectoryListing, now: MonoTime) -> bool {
+        if listing.as_of < self.as_of {
+            return false;
+        }
+        self.as_of = listing.as_of;
+        for name in self.missing_from(&listing) {
+            self.remove(&name, now);
+        }
+        for instance in listing.targets {
+            self.put(instance, now);
+        }
+        true
+    }
+
+    fn missing_from(&self, listing: &DirectoryListing) -> Vec<Box<str>> {
+        let names: HashSet<&str> = listing.targets.iter().map(|t| &*t.name).collect();
+        let known = self.records.values().map(|r| &r.instance.name);
+        known.filter(|n| !names.contains(&***n)).cloned().collect()
+    }
+
+    /// Applies changes up to `as_of`; changes that the state contains already are ignored.
+    pub(crate) fn apply(&mut self, changes: Vec<TargetChange>, as_of: Revision, now: MonoTime) {
+        if as_of < self.as_of {
+            return;
+        }
+        self.as_of = as_of;
+        for change in changes {
+            match change {
+                TargetChange::Put(instance) => self.put(instance, now),
+                TargetChange::Removed(name) => self.remove(&name, now),
+            }
+        }
+    }
+
+    fn put(&mut self, instance: TargetInstance, now: MonoTime) {
+        let Some(&index) = self.by_name.get(&instance.name) else {
+            self.insert(instance, now);
+            return;
+        };
+        let Some(record) = self.records.get_mut(&index) else {
+            return;
+        };
+        let before = record.instance.service;
+        let after = instance.service;
+        record.update(instance, now);
+        if before != after {
+            self.unlink_service(before, index);
+            self.by_service.entry(after).or_default().push(index);
+        }
+    }
+
+    fn insert(&mut self, instance: TargetInstance, now: MonoTime) {
+        let index = TargetIndex(self.next);
+        self.next = self.next.wrapping_add(1);
+        let tag = TargetTag::from_name(&instance.name);
+        self.by_name.insert(instance.name.clone(), index);
+        self.by_tag.entry(tag).or_default().push(index);
+        let service = self.by_service.entry(instance.service).or_default();
+        service.push(index);
+        self.records.insert(index, TargetRecord::new(instance, now));
+    }
+
+    fn remove(&mut self, name: &str, now: MonoTime) {
+        let index = self.by_name.get(name);
+        let Some(record) = index.and_then(|index| self.records.get_mut(index)) else {
+            return;
+        };
+        if record.presence != Presence::Listed {
+            return;
+        }
+        // A target that announced its end left the store because it ended.
+        record.presence = match record.instance.state {
+            InstanceState::Draining => Presence::Gone { at: now },
+            InstanceState::Ready => Presence::Lapsed { at: now },
+        };
+    }
+
+    /// Ends the uncertainty about lapsed targets and forgets targets that ended long ago.
+    ///
+    /// A target counts as gone when it was missing for `grace` and the store confirmed the list
+    /// at least that long after.
+    pub(crate) fn sweep(
+        &mut self,
+        now: MonoTime,
+        confirmed: Option<MonoTime>,
+        grace: Duration,
+        memory: Duration,
+    ) {
+        let mut forgotten = Vec::new();
+        for (&index, record) in &mut self.records {
+            match record.presence {
+                Presence::Lapsed { at } if confirmed.is_some_and(|c| c >= at + grace) => {
+                    record.presence = Presence::Gone { at: now };
+                }
+                Presence::Gone { at } if now >= at + memory => forgotten.push(index),
+                _ => {}
+            }
+        }
+        for index in forgotten {
+            self.forget(index);
+        }
+    }
+
+    fn forget(&mut self, index: TargetIndex) {
+        let Some(record) = self.records.remove(&index) else {
+            return;
+        };
+        self.by_name.remove(&record.instance.name);
+        let tag = TargetTag::from_name(&record.instance.name);
+        if let Some(list) = self.by_tag.get_mut(&tag) {
+            list.retain(|i| *i != index);
+            if list.is_empty() {
+                self.by_tag.remove(&tag);
+            }
+        }
+        self.unlink_service(record.instance.service, index);
+    }
+
+    fn unlink_service(&mut self, service: ServiceId, index: TargetIndex) {
+        if let Some(list) = self.by_service.get_mut(&service) {
+            list.retain(|i| *i != index);
+            if list.is_empty() {
+                self.by_service.remove(&service);
+            }
+        }
+    }
+
+    /// Returns the target that a tag names.
+    ///
+    /// Of several with one tag only the first that became known has it: the others get no flows.
+    pub(crate) fn find(&self, tag: TargetTag) -> Option<TargetIndex> {
+        self.by_tag.get(&tag)?.first().copied()
+    }
+
+    /// Tells whether the target owns its tag, so that its cookie names no other target.
+    pub(crate) fn owns_tag(&self, index: TargetIndex) -> bool {
+        let record = self.get(index);
+        record.is_some_and(|r| self.find(TargetTag::from_name(&r.instance.name)) == Some(index))
+    }
+
+    pub(crate) fn get(&self, index: TargetIndex) -> Option<&TargetRecord> {
+        self.records.get(&index)
+    }
+
+    pub(crate) fn get_mut(&mut self, index: TargetIndex) -> Option<&mut TargetRecord> {
+        self.records.get_mut(&index)
+    }
+
+    pub(crate) fn records_mut(&mut self) -> impl Iterator<Item = &mut TargetRecord> {
+        self.records.values_mut()
+    }
+
+    /// Returns the targets of a service in the order in which they became known.
+    pub(crate) fn of_service(&self, service: ServiceId) -> &[TargetIndex] {
+        self.by_service.get(&service).map_or(&[], Vec::as_slice)
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-core/src/steering/flow_tracker.rs
@@ -0,0 +1,212 @@
+use std::time::Duration;
+
+use hashbrown::HashMap;
+
+use crate::flow::FlowKey;
+use crate::units::MonoTime;
+
+use super::directory::{Directory, TargetIndex};
+use super::tracked_flow::{FlowPhase, TrackedFlow};
+use super::{Segment, SegmentKind};
+
+/// Observes the flows whose packets pass this balancer, to estimate the load of targets.
+///
+/// It decides nothing about open flows; what it forgets costs accuracy only.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct FlowTracker {
+    flows: HashMap<FlowKey, TrackedFlow>,
+    capacity: usize,
+}
+
+/// Is what the end of a flow tells about its route.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct FlowSummary {
+    pub(crate) requests: u32,
+    pub(crate) bytes: u32,
+}
+
+impl FlowTracker {
+    pub(crate) fn new(capacity: usize) -> Self {
+        Self {
+            flows: HashMap::new(),
+            capacity,
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.flows.len()
+    }
+
+    pub(crate) fn get(&self, flow: &FlowKey) -> Option<&TrackedFlow> {
+        self.flows.get(flow)
+    }
+
+    /// Records an opening packet that goes to `target`.
+    pub(crate) fn open(
+        &mut self,
+        dir: &mut Directory,
+        now: MonoTime,
+        seg: &Segment,
+        target: TargetIndex,
+    ) {
+        let before = self.end(dir, &seg.flow);
+        if self.flows.len() >= self.capacity {
+            return;
+        }
+        let tried = before
+            .filter(|f| f.phase == FlowPhase::Opening && f.target != target)
+            .map(|f| f.target);
+        let flow = TrackedFlow {
+            target,
+            tried,
+            phase: FlowPhase::Opening,
+            last_ack: 0,
+            seen: now,
+            requests: 0,
+            bytes: 0,
+        };
+        self.flows.insert(seg.flow, flow);
+        if let Some(record) = dir.get_mut(target) {
+            record.flows += 1;
+            record.busy += 1;
+        }
+    }
+
+    /// Records a packet of an open flow that goes to `target`.
+    pub(crate) fn pass(
+        &mut self,
+        dir: &mut Directory,
+        now: MonoTime,
+        seg: &Segment,
+        target: TargetIndex,
+    ) {
+        if self
+            .flows
+            .get(&seg.flow)
+            .is_some_and(|f| f.target != target)
+        {
+            // Another target answered the opening packet first.
+            self.end(dir, &seg.flow);
+        }
+        if !self.flows.contains_key(&seg.flow) && !self.adopt(dir, now, seg, target) {
+            return;
+        }
+        let Some(flow) = self.flows.get_mut(&seg.flow) else {
+            return;
+        };
+        let Some(record) = dir.get_mut(target) else {
+            return;
+        };
+        let was_work = flow.phase.is_work();
+        flow.seen = now;
+        match flow.phase {
+            FlowPhase::Opening => {
+                record.note_answer();
+                flow.last_ack = seg.ack;
+                // A caller that opened a flow for a request sends it at once.
+                flow.phase = FlowPhase::Idle;
+            }
+            FlowPhase::Busy { since } if advances(flow.last_ack, seg.ack) => {
+                record.note_answer();
+                record.note_answer_time(now, now.since(since));
+                flow.last_ack = seg.ack;
+                flow.phase = FlowPhase::Idle;
+            }
+            FlowPhase::Busy { .. } | FlowPhase::Closed => {}
+            FlowPhase::Idle => flow.last_ack = seg.ack,
+        }
+        if seg.len > 0 && flow.phase == FlowPhase::Idle {
+            flow.phase = FlowPhase::Busy { since: now };
+            flow.requests += 1;
+        }
+        flow.bytes = flow.bytes.saturating_add(seg.len.into());
+        match (was_work, flow.phase.is_work()) {
+            (false, true) => record.busy += 1,
+            (true, false) => record.busy = record.busy.saturating_sub(1),
+            _ => {}
+        }
+    }
+
+    /// Starts to observe a flow that was opened elsewhere; tells whether there was room.
+    fn adopt(
+        &mut self,
+        dir: &mut Directory,
+        now: MonoTime,
+        seg: &Segment,
+        target: TargetIndex,
+    ) -> bool {
+        if self.flows.len() >= self.capacity || seg.kind != SegmentKind::Middle {
+            return false;
+        }
+        let flow = TrackedFlow {
+            target,
+            tried: None,
+            phase: FlowPhase::Idle,
+            last_ack: seg.ack,
+            seen: now,
+            requests: 0,
+            bytes: 0,
+        };
+        self.flows.insert(seg.flow, flow);
+        if let Some(record) = dir.get_mut(target) {
+            record.flows += 1;
+        }
+        true
+    }
+
+    /// Stops observing a flow and returns it.
+    pub(crate) fn end(&mut self, dir: &mut Directory, flow: &FlowKey) -> Option<TrackedFlow> {
+        let flow = self.flows.remove(flow)?;
+        release(dir, &flow);
+        Some(flow)
+    }
+
+    /// Records that an end closed the flow; its last packets change nothing any more.
+    pub(crate) fn close(&mut self, dir: &mut Directory, flow: &FlowKey) -> Option<FlowSummary> {
+        let flow = self.flows.get_mut(flow)?;
+        if flow.phase == FlowPhase::Closed {
+            return None;
+        }
+        release(dir, flow);
+        flow.phase = FlowPhase::Closed;
+        Some(flow.summary())
+    }
+
+    /// Stops observing flows without a packet for `idle`.
+    pub(crate) fn sweep(&mut self, dir: &mut Directory, now: MonoTime, idle: Duration) {
+        self.flows.retain(|_, flow| {
+            let keep = now.since(flow.seen) <= idle;
+            if !keep {
+                release(dir, flow);
+            }
+            keep
+        });
+    }
+}
+
+impl TrackedFlow {
+    pub(crate) fn summary(&self) -> FlowSummary {
+        FlowSummary {
+            requests: self.requests,
+            bytes: self.bytes,
+        }
+    }
+}
+
+fn release(dir: &mut Directory, flow: &TrackedFlow) {
+    if flow.phase == FlowPhase::Closed {
+        return;
+    }
+    let Some(record) = dir.get_mut(flow.target) else {
+        return;
+    };
+    record.flows = record.flows.saturating_sub(1);
+    if flow.phase.is_work() {
+        record.busy = record.busy.saturating_sub(1);
+    }
+}
+
+/// Tells whether `ack` is after `before`, with wrap-around.
+fn advances(before: u32, ack: u32) -> bool {
+    ack.wrapping_sub(before) as i32 > 0
+}
--- /dev/null
+++ b/crates/zinniadrift-core/src/steering/knowledge.rs
@@ -0,0 +1,72 @@
+use std::time::Duration;
+
+use derive_more::{Display, From, Into};
+use serde::{Deserialize, Serialize};
+
+use crate::units::MonoTime;
+
+use super::TargetInstance;
+
+/// Is a revision of the platform's store.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    Eq,
+    From,
+    Hash,
+    Into,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Deserialize,
+    Serialize,
+)]
+#[serde(transparent)]
+pub struct Revision(u64);
+
+/// Is a full list of the targets at one revision of the store.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DirectoryListing {
+    /// The store's revision.
+    pub as_of: Revision,
+    /// All targets that were registered then.
+    pub targets: Vec<TargetInstance>,
+}
+
+/// Tells since when a part of the balancer's knowledge exists and when it was last confirmed.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Knowledge {
+    since: Option<MonoTime>,
+    confirmed: Option<MonoTime>,
+}
+
+impl Knowledge {
+    /// Records that the store or a peer confirmed the state at `at`.
+    pub fn confirm(&mut self, at: MonoTime) {
+        self.since.get_or_insert(at);
+        self.confirmed = self.confirmed.max(Some(at));
+    }
+
+    /// Forgets the confirmation, as after a pause of the process.
+    pub fn doubt(&mut self) {
+        self.confirmed = None;
+    }
+
+    /// Returns when the first complete state arrived.
+    pub const fn since(&self) -> Option<MonoTime> {
+        self.since
+    }
+
+    /// Returns the time since the last confirmation.
+    pub fn age(&self, now: MonoTime) -> Option<Duration> {
+        self.confirmed.map(|at| now.since(at))
+    }
+
+    /// Tells whether the state was confirmed within `limit`.
+    pub fn is_fresh(&self, now: MonoTime, limit: Duration) -> bool {
+        self.age(now).is_some_and(|age| age <= limit)
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-core/src/steering/settings.rs
@@ -0,0 +1,67 @@
+use std::time::Duration;
+
+use crate::ids::ZoneName;
+
+/// Sets the limits of [`Steering`](super::Steering).
+#[derive(Clone, Debug)]
+pub struct SteeringSettings {
+    /// The availability zone of the balancer.
+    pub zone: ZoneName,
+    /// The time for which a target that is missing in the store may still live.
+    ///
+    /// Targets register again within two seconds of the store's return; half a second covers the
+    /// way of the change to the balancer.
+    pub lapse_grace: Duration,
+    /// The age from which a directory or configuration is no ground for a reset.
+    ///
+    /// Two rounds of the watch loop.
+    pub fresh_for: Duration,
+    /// The longest life of a flow, for which ended targets are remembered.
+    pub flow_lifetime: Duration,
+    /// The time for which a target gets no new flow after it left an opening packet unanswered.
+    ///
+    /// One opening packet in flight at a time is enough to find out that the target answers again.
+    pub suspect_for: Duration,
+    /// The number of flows whose packets are observed for load estimates.
+    pub tracked_flows: usize,
+    /// The number of requests beyond its slots after which a target counts as full.
+    pub queue_limit: u32,
+}
+
+impl Default for SteeringSettings {
+    fn default() -> Self {
+        Self {
+            zone: ZoneName::default(),
+            lapse_grace: Duration::from_millis(2_500),
+            fresh_for: Duration::from_secs(5),
+            flow_lifetime: Duration::from_secs(60),
+            suspect_for: Duration::from_millis(1_500),
+            tracked_flows: 16_384,
+            queue_limit: 8,
+        }
+    }
+}
+
+/// Sets the pace of [`WatchLoop`](super::WatchLoop).
+#[derive(Clone, Debug)]
+pub struct WatchSettings {
+    /// The longest wait of one watch call.
+    pub watch_wait: Duration,
+    /// The pause after a change, so that one call collects changes that come close together.
+    pub gather: Duration,
+    /// The first pause after a failed call; doubled up to `retry_max`.
+    pub retry_min: Duration,
+    /// The longest pause after failed calls.
+    pub retry_max: Duration,
+}
+
+impl Default for WatchSettings {
+    fn default() -> Self {
+        Self {
+            watch_wait: Duration::from_secs(4),
+            gather: Duration::from_millis(600),
+            retry_min: Duration::from_millis(100),
+            retry_max: Duration::from_secs(1),
+        }
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-core/src/steering/tracked_flow.rs
@@ -0,0 +1,44 @@
+use crate::units::MonoTime;
+
+use super::directory::TargetIndex;
+
+/// Is what a balancer observes of one flow.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TrackedFlow {
+    /// The target that the last packet went to.
+    pub(crate) target: TargetIndex,
+    /// The target before that, if an opening packet was moved.
+    pub(crate) tried: Option<TargetIndex>,
+    pub(crate) phase: FlowPhase,
+    /// The caller's last acknowledgement.
+    pub(crate) last_ack: u32,
+    /// The last packet's time.
+    pub(crate) seen: MonoTime,
+    /// The number of requests so far.
+    pub(crate) requests: u32,
+    /// The bytes that the caller sent so far.
+    pub(crate) bytes: u32,
+}
+
+/// Tells how far a flow is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum FlowPhase {
+    /// The opening packet was sent on.
+    Opening,
+    /// A request waits for its answer.
+    Busy {
+        /// When its first byte came.
+        since: MonoTime,
+    },
+    /// No request is at work.
+    Idle,
+    /// An end has closed the flow.
+    Closed,
+}
+
+impl FlowPhase {
+    /// Tells whether the flow occupies its target.
+    pub(crate) fn is_work(self) -> bool {
+        matches!(self, Self::Opening | Self::Busy { .. })
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-core/src/steering/watch_loop.rs
@@ -0,0 +1,112 @@
+use std::time::Duration;
+
+use derive_more::Display;
+
+use crate::units::MonoTime;
+
+use super::{Revision, WatchSettings};
+
+/// Decides which call keeps one kind of the store's objects known.
+///
+/// It lists once and then watches; every failure keeps what is known.
+#[derive(Clone, Debug)]
+pub struct WatchLoop {
+    cfg: WatchSettings,
+    position: Option<Revision>,
+    failures: u32,
+    not_before: MonoTime,
+}
+
+/// Is the next call to the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StoreStep {
+    /// Make no call until then.
+    Pause(MonoTime),
+    /// Read all objects.
+    List,
+    /// Wait for changes after `from`.
+    Watch {
+        /// The revision up to which changes are known.
+        from: Revision,
+        /// The longest wait.
+        wait: Duration,
+    },
+}
+
+/// Tells why a call to the store failed.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq)]
+#[display(rename_all = "kebab-case")]
+pub enum CallFault {
+    /// The store has dropped the history after the asked revision.
+    Compacted,
+    /// The store refused the call.
+    Refused,
+    /// There was no answer in time, or the connection broke.
+    NoAnswer,
+    /// The answer could not be read.
+    Unreadable,
+}
+
+/// The number of doublings after which the pause no longer grows.
+const MAX_DOUBLINGS: u32 = 10;
+
+impl WatchLoop {
+    /// Returns a loop that begins with a list.
+    pub fn new(cfg: WatchSettings) -> Self {
+        Self {
+            cfg,
+            position: None,
+            failures: 0,
+            not_before: MonoTime::default(),
+        }
+    }
+
+    /// Returns the next call.
+    pub fn next_step(&self, now: MonoTime) -> StoreStep {
+        if now < self.not_before {
+            return StoreStep::Pause(self.not_before);
+        }
+        match self.position {
+            None => StoreStep::List,
+            Some(from) => StoreStep::Watch {
+                from,
+                wait: self.cfg.watch_wait,
+            },
+        }
+    }
+
+    /// Records an answer that holds everything up to `as_of`; `changed` tells whether it was new.
+    pub fn on_answer(&mut self, now: MonoTime, as_of: Revision, changed: bool) {
+        self.failures = 0;
+        self.position = self.position.max(Some(as_of));
+        if changed {
+            self.not_before = now + self.cfg.gather;
+        }
+    }
+
+    /// Records a failed call.
+    pub fn on_fault(&mut self, now: MonoTime, fault: CallFault) {
+        if fault == CallFault::Compacted {
+            self.position = None;
+            if self.failures == 0 {
+                self.failures = 1;
+                return;
+            }
+        }
+        let doublings = self.failures.min(MAX_DOUBLINGS);
+        let pause = self.cfg.retry_min * (1 << doublings);
+        self.failures = self.failures.saturating_add(1);
+        self.not_before = now + pause.min(self.cfg.retry_max);
+    }
+
+    /// Begins anew with a list, as after a pause of the process.
+    pub fn restart(&mut self, now: MonoTime) {
+        self.position = None;
+        self.not_before = now;
+    }
+
+    /// Tells whether the last call failed, so that a peer may know more.
+    pub const fn is_failing(&self) -> bool {
+        self.failures > 0
+    }
+}
--- a/crates/zinniadrift-ctl/src/cmd/apply.rs
+++ b/crates/zinniadrift-ctl/src/cmd/apply.rs
@@ -5,7 +5,7 @@
 use pico_args::Arguments;
 
 use zinniadrift_core::units::Version;
-use zinniadrift_platform::RepositorySettings;
+use zinniadrift_store::RepositorySettings;
 
 use super::command::Command;
 use super::common::read_tree;
--- a/crates/zinniadrift-ctl/src/cmd/common.rs
+++ b/crates/zinniadrift-ctl/src/cmd/common.rs
@@ -4,7 +4,7 @@
 use pico_args::Arguments;
 
 use zinniadrift_core::settings::Node;
-use zinniadrift_platform::{Edit, HttpStore, RepositorySettings, SettingsRepository};
+use zinniadrift_store::{Edit, HttpStore, RepositorySettings, SettingsRepository};
 
 use crate::ctl_error::CtlError;
 
--- a/crates/zinniadrift-ctl/src/cmd/in_force.rs
+++ b/crates/zinniadrift-ctl/src/cmd/in_force.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 
 use zinniadrift_core::units::Version;
-use zinniadrift_platform::{DaemonStatus, HttpStore, SettingsRepository};
+use zinniadrift_store::{DaemonStatus, HttpStore, SettingsRepository};
 
 use crate::ctl_error::CtlError;
 
--- a/crates/zinniadrift-ctl/src/ctl_error.rs
+++ b/crates/zinniadrift-ctl/src/ctl_error.rs
@@ -3,7 +3,7 @@
 use zinniadrift_core::error::ErrorKind;
 use zinniadrift_core::settings::SettingsError;
 use zinniadrift_core::units::Version;
-use zinniadrift_platform::{EditError, StoreError};
+use zinniadrift_store::{EditError, StoreError};
 
 /// Tells why a command failed.
 #[derive(Debug, Snafu)]
--- a/crates/zinniadrift-lab/src/doubles/platform.rs
+++ b/crates/zinniadrift-lab/src/doubles/platform.rs
@@ -11,7 +11,7 @@
 use serde_json::Value;
 use tokio::net::TcpListener;
 
-use zinniadrift_platform::{
+use zinniadrift_store::{
     MemoryStore, ObjectStore, Precondition, StoreError, StoreFaults, StoreSnapshot,
 };
 
--- a/crates/zinniadrift-runtime/src/daemon/daemon_error.rs
+++ b/crates/zinniadrift-runtime/src/daemon/daemon_error.rs
@@ -6,7 +6,7 @@
 
 /// Tells why a daemon could not start or had to stop.
 #[derive(Debug, Snafu)]
-#[snafu(visibility(pub(crate)))]
+#[snafu(visibility(pub))]
 pub enum DaemonError {
     /// The command line is malformed.
     #[snafu(display("{text}"))]
--- a/crates/zinniadrift-runtime/src/daemon/logging.rs
+++ b/crates/zinniadrift-runtime/src/daemon/logging.rs
@@ -1,5 +1,6 @@
 use std::io;
 
+use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
 /// Sends logs to standard error, as JSON lines if `json` is set.
@@ -19,3 +20,28 @@
         eprintln!("logs are already set up");
     }
 }
+
+/// The lines that wait for a slow reader of the log; further ones are dropped and counted.
+const BUFFERED_LINES: usize = 4_096;
+
+/// Sends logs to standard output as JSON lines, without ever waiting for their reader.
+///
+/// The level comes from `RUST_LOG` and is `info` by default. Lines are written while the guard
+/// lives.
+pub fn init_stdout_logs() -> WorkerGuard {
+    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
+    let (writer, guard) = NonBlockingBuilder::default()
+        .lossy(true)
+        .buffered_lines_limit(BUFFERED_LINES)
+        .finish(io::stdout());
+    let result = tracing_subscriber::fmt()
+        .json()
+        .flatten_event(true)
+        .with_env_filter(filter)
+        .with_writer(writer)
+        .try_init();
+    if result.is_err() {
+        eprintln!("logs are already set up");
+    }
+    guard
+}
--- a/crates/zinniadrift-runtime/src/daemon/mod.rs
+++ b/crates/zinniadrift-runtime/src/daemon/mod.rs
@@ -11,10 +11,12 @@
 mod shutdown;
 
 pub use command_line::{CommandLine, Mode, run};
-pub(crate) use daemon_error::BindSnafu;
-pub use daemon_error::DaemonError;
+
+pub use daemon_error::{
+    BindSnafu, DaemonError, InvalidSettingsSnafu, ReadSettingsSnafu, UsageSnafu,
+};
 pub use daemon_settings::DaemonSettings;
-pub use logging::init_logs;
+pub use logging::{init_logs, init_stdout_logs};
 pub use role::Role;
 pub use run_clock::RunClock;
 pub use seed::Seed;
--- a/crates/zinniadrift-runtime/src/daemon/shared_tasks.rs
+++ b/crates/zinniadrift-runtime/src/daemon/shared_tasks.rs
@@ -11,7 +11,7 @@
 use zinniadrift_core::ids::MemberId;
 use zinniadrift_core::settings::ServiceCatalog;
 use zinniadrift_core::units::Version;
-use zinniadrift_platform::HttpStore;
+use zinniadrift_store::HttpStore;
 
 use super::daemon_error::BindSnafu;
 use super::{DaemonError, DaemonSettings, Role, RunClock};
--- a/crates/zinniadrift-runtime/src/distribution/driver.rs
+++ b/crates/zinniadrift-runtime/src/distribution/driver.rs
@@ -15,7 +15,7 @@
 };
 use zinniadrift_core::ids::MemberId;
 use zinniadrift_core::units::Version;
-use zinniadrift_platform::{HttpStore, Object, ObjectStore, Precondition};
+use zinniadrift_store::{HttpStore, Object, ObjectStore, Precondition};
 
 use super::{DistributionInput, DistributionOutput};
 use crate::daemon::{DaemonSettings, RunClock};
--- a/crates/zinniadrift-runtime/src/gateway/driver.rs
+++ b/crates/zinniadrift-runtime/src/gateway/driver.rs
@@ -18,7 +18,7 @@
 use zinniadrift_core::membership::MemberState;
 use zinniadrift_core::settings::ServiceCatalog;
 use zinniadrift_core::units::MonoTime;
-use zinniadrift_platform::HttpStore;
+use zinniadrift_store::HttpStore;
 
 use super::attempt::Finished;
 use super::attempts::Attempts;
--- a/crates/zinniadrift-runtime/src/gateway/store_calls.rs
+++ b/crates/zinniadrift-runtime/src/gateway/store_calls.rs
@@ -2,7 +2,7 @@
 
 use zinniadrift_core::claim::{ClaimShard, ReadResult, ShardId, StoreOp, WriteResult};
 use zinniadrift_core::gateway::GatewayEvent;
-use zinniadrift_platform::{HttpStore, ObjectStore, Precondition, StoreError};
+use zinniadrift_store::{HttpStore, ObjectStore, Precondition, StoreError};
 
 /// Reads a claim shard.
 pub(super) async fn read_shard(
--- a/crates/zinniadrift-runtime/src/lib.rs
+++ b/crates/zinniadrift-runtime/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod metrics;
 pub mod peer;
 pub mod status;
+pub mod steering;
 mod targets;
 pub mod timeline;
--- a/crates/zinniadrift-runtime/src/status/status_list.rs
+++ b/crates/zinniadrift-runtime/src/status/status_list.rs
@@ -3,7 +3,7 @@
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
-use zinniadrift_platform::{HttpStore, ObjectStore};
+use zinniadrift_store::{HttpStore, ObjectStore};
 
 use super::DaemonStatus;
 
--- /dev/null
+++ b/crates/zinniadrift-runtime/src/steering/driver.rs
@@ -0,0 +1,206 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, watch};
+use tokio_util::sync::CancellationToken;
+
+use zinniadrift_core::steering::{Steering, Verdict};
+use zinniadrift_core::units::MonoTime;
+
+use super::answer_source::KnowledgeInput;
+use super::front::TextRequest;
+use super::log::DecisionLog;
+use super::{Border, Feed, PeerSnapshot, Update};
+use crate::daemon::RunClock;
+
+/// The datagrams read before other events get their turn.
+const BATCH: usize = 64;
+/// The largest datagram that is read; longer ones are no packets.
+const MAX_DATAGRAM: usize = 2_048;
+/// The time without a turn of the loop from which the process counts as paused.
+const PAUSE: Duration = Duration::from_millis(1_500);
+
+/// Moves packets between the socket and the core.
+pub(super) struct Driver<B> {
+    pub(super) border: Arc<B>,
+    pub(super) clock: RunClock,
+    pub(super) socket: UdpSocket,
+    pub(super) steering: Steering,
+    pub(super) ready: watch::Sender<bool>,
+    pub(super) pauses: watch::Sender<u64>,
+    pub(super) knowledge: mpsc::Receiver<KnowledgeInput>,
+    pub(super) snapshots: mpsc::Receiver<TextRequest>,
+    pub(super) metrics: mpsc::Receiver<TextRequest>,
+    pub(super) leave: CancellationToken,
+    pub(super) stop_within: Duration,
+    pub(super) log: DecisionLog,
+    pub(super) counters: DriverCounters,
+}
+
+/// Counts what the driver itself does with datagrams.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct DriverCounters {
+    pub(super) received: u64,
+    pub(super) malformed: u64,
+    pub(super) send_failed: u64,
+    pub(super) pauses: u64,
+}
+
+/// The time without packets after which a leaving balancer is out of rotation.
+const QUIET: Duration = Duration::from_millis(700);
+/// The earliest end after the request to stop: routers notice after two probes of half a second.
+const LEAVE_MIN: Duration = Duration::from_millis(1_600);
+
+impl<B: Border> Driver<B> {
+    /// Forwards packets until the process is asked to stop and the routers have let go.
+    pub(super) async fn run(&mut self) {
+        let mut buf = vec![0_u8; MAX_DATAGRAM];
+        let mut out = Vec::with_capacity(MAX_DATAGRAM);
+        let mut leaving_since: Option<MonoTime> = None;
+        let mut last_turn = self.clock.now();
+        let mut last_packet = last_turn;
+        loop {
+            let tick = self.clock.instant(self.steering.next_tick());
+            tokio::select! {
+                result = self.socket.readable() => {
+                    if let Err(e) = result {
+                        tracing::error!(error = %e, "packet socket failed");
+                        return;
+                    }
+                    let now = self.clock.now();
+                    self.notice_pause(now, last_turn);
+                    last_packet = now;
+                    self.drain_socket(now, &mut buf, &mut out);
+                }
+                Some(input) = self.knowledge.recv() => self.take(input),
+                Some(tx) = self.snapshots.recv() => self.answer_snapshot(tx),
+                Some(tx) = self.metrics.recv() => self.answer_metrics(tx),
+                () = self.leave.cancelled(), if leaving_since.is_none() => {
+                    tracing::info!("leaving: reported as not ready, still forwarding");
+                    leaving_since = Some(self.clock.now());
+                    self.ready.send_replace(false);
+                }
+                () = tokio::time::sleep_until(tick) => {
+                    let now = self.clock.now();
+                    self.notice_pause(now, last_turn);
+                    self.steering.tick(now);
+                }
+            }
+            last_turn = self.clock.now();
+            self.flush_log(last_turn);
+            let Some(since) = leaving_since else {
+                self.update_readiness();
+                continue;
+            };
+            let left = last_turn.since(since);
+            let quiet = left >= LEAVE_MIN && last_turn.since(last_packet) >= QUIET;
+            if quiet || left >= self.stop_within {
+                return;
+            }
+        }
+    }
+
+    fn notice_pause(&mut self, now: MonoTime, last_turn: MonoTime) {
+        let gap = now.since(last_turn);
+        if gap < PAUSE {
+            return;
+        }
+        let ms = u64::try_from(gap.as_millis()).unwrap_or(u64::MAX);
+        tracing::warn!(gap_ms = ms, "process was paused; knowledge is read again");
+        self.counters.pauses += 1;
+        self.steering.on_pause(now);
+        self.pauses.send_modify(|n| *n += 1);
+    }
+
+    fn drain_socket(&mut self, now: MonoTime, buf: &mut [u8], out: &mut Vec<u8>) {
+        for _ in 0..BATCH {
+            let len = match self.socket.try_recv_from(buf) {
+                Ok((len, _)) => len,
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return,
+                Err(e) => {
+                    tracing::debug!(error = %e, "cannot read a datagram");
+                    return;
+                }
+            };
+            self.counters.received += 1;
+            self.on_datagram(now, &buf[..len], out);
+        }
+    }
+
+    fn on_datagram(&mut self, now: MonoTime, datagram: &[u8], out: &mut Vec<u8>) {
+        let Some(seg) = self.border.decode(datagram) else {
+            self.counters.malformed += 1;
+            return;
+        };
+        match self.steering.on_segment(now, &seg) {
+            Verdict::Forward { to, guard, cookie } => {
+                self.border.encode_forward(datagram, guard, cookie, out);
+                self.send(to.into(), out);
+            }
+            Verdict::Reset { seq, .. } => {
+                let to = self.border.encode_reset(&seg, seq, out);
+                self.send(to, out);
+            }
+            Verdict::Drop(_) => {}
+        }
+    }
+
+    fn send(&mut self, to: SocketAddr, datagram: &[u8]) {
+        if let Err(e) = self.socket.try_send_to(datagram, to) {
+            self.counters.send_failed += 1;
+            tracing::debug!(%to, error = %e, "cannot send a datagram");
+        }
+    }
+
+    fn take(&mut self, input: KnowledgeInput) {
+        let now = self.clock.now();
+        let confirmed = now - input.age;
+        tracing::debug!(source = %input.source, feed = %input.feed, as_of = %input.answer.as_of, "answer");
+        let as_of = input.answer.as_of;
+        match (input.answer.update, input.feed) {
+            (Some(Update::Listing(listing)), _) => {
+                self.steering.on_listing(now, confirmed, listing);
+            }
+            (Some(Update::Changes(changes)), _) => self.steering.on_changes(now, changes, as_of),
+            (Some(Update::Routes(table)), _) => self.steering.on_routes(confirmed, table),
+            (None, Feed::Targets) => self.steering.on_changes(now, Vec::new(), as_of),
+            (None, Feed::Routes) => self.steering.confirm_routes(now),
+        }
+    }
+
+    fn update_readiness(&self) {
+        let ready = self.steering.can_place();
+        let changed = self
+            .ready
+            .send_if_modified(|r| std::mem::replace(r, ready) != ready);
+        if changed {
+            tracing::info!(ready, "readiness changed");
+        }
+    }
+
+    fn answer_snapshot(&self, tx: TextRequest) {
+        let snapshot = PeerSnapshot::of(&self.steering, self.clock.now());
+        let text = snapshot.and_then(|s| match serde_json::to_vec(&s) {
+            Ok(text) => Some(text),
+            Err(e) => {
+                tracing::error!(error = %e, "cannot encode the snapshot");
+                None
+            }
+        });
+        // The asking connection may have closed meanwhile.
+        tx.send(text).unwrap_or_default();
+    }
+
+    fn answer_metrics(&self, tx: TextRequest) {
+        let text = format!("{:?}\n{:?}\n", self.steering.counters(), self.counters);
+        tx.send(Some(text.into_bytes())).unwrap_or_default();
+    }
+
+    fn flush_log(&mut self, now: MonoTime) {
+        for decision in self.steering.take_decisions() {
+            self.log.write(now, &decision);
+        }
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-runtime/src/steering/front.rs
@@ -0,0 +1,120 @@
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinSet;
+use tokio_util::sync::CancellationToken;
+
+/// Where peers find a balancer's knowledge.
+pub(super) const SNAPSHOT_PATH: &str = "/steering/snapshot";
+
+/// The time for the head of a request; the callers are probes and peers nearby.
+const HEAD_LIMIT: Duration = Duration::from_secs(5);
+/// The open connections a listener; probes, peers and a collector need a few each.
+const MAX_CONNECTIONS: usize = 64;
+
+/// Asks the driver for a text about its state.
+pub(super) type TextRequest = oneshot::Sender<Option<Vec<u8>>>;
+
+/// Answers every request according to whether the balancer takes packets.
+pub(super) async fn serve_readiness(
+    listener: TcpListener,
+    ready: watch::Receiver<bool>,
+    stop: CancellationToken,
+) {
+    serve(listener, stop, move |_: Request<Incoming>| {
+        let status = if *ready.borrow() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        std::future::ready(answer(status, "text/plain", Vec::new()))
+    })
+    .await;
+}
+
+/// Answers requests for `path` with a text of the driver.
+pub(super) async fn serve_text(
+    listener: TcpListener,
+    path: &'static str,
+    content_type: &'static str,
+    questions: mpsc::Sender<TextRequest>,
+    stop: CancellationToken,
+) {
+    serve(listener, stop, move |req: Request<Incoming>| {
+        let questions = questions.clone();
+        async move {
+            if req.uri().path() != path {
+                return answer(StatusCode::NOT_FOUND, content_type, Vec::new());
+            }
+            let (tx, rx) = oneshot::channel();
+            let sent = questions.send(tx).await.is_ok();
+            match rx.await {
+                Ok(Some(text)) if sent => answer(StatusCode::OK, content_type, text),
+                _ => answer(StatusCode::SERVICE_UNAVAILABLE, content_type, Vec::new()),
+            }
+        }
+    })
+    .await;
+}
+
+/// Opens a listener.
+pub(super) async fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
+
+async fn serve<H, F>(listener: TcpListener, stop: CancellationToken, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    let mut connections = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => break,
+            Some(_) = connections.join_next() => continue,
+            accepted = listener.accept(), if connections.len() < MAX_CONNECTIONS => accepted,
+        };
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                tracing::warn!(error = %e, "cannot accept a connection");
+                tokio::time::sleep(Duration::from_millis(100)).await;
+                continue;
+            }
+        };
+        let handler = handler.clone();
+        let service = service_fn(move |req| {
+            let resp = handler(req);
+            async move { Ok::<_, Infallible>(resp.await) }
+        });
+        let mut http = http1::Builder::new();
+        http.timer(TokioTimer::new())
+            .header_read_timeout(HEAD_LIMIT);
+        let connection = http.serve_connection(TokioIo::new(stream), service);
+        connections.spawn(async move {
+            if let Err(e) = connection.await {
+                tracing::debug!(error = %e, "connection failed");
+            }
+        });
+    }
+    connections.shutdown().await;
+}
+
+fn answer(status: StatusCode, content_type: &'static str, text: Vec<u8>) -> Response<Full<Bytes>> {
+    let mut resp = Response::new(Full::new(text.into()));
+    *resp.status_mut() = status;
+    let value = header::HeaderValue::from_static(content_type);
+    resp.headers_mut().insert(header::CONTENT_TYPE, value);
+    resp
+}
--- a/crates/zinniadrift-platform/src/http_store.rs
+++ b/crates/zinniadrift-store/src/http_store.rs
@@ -3,13 +3,11 @@
 
 use bytes::Bytes;
 use http::{Method, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use http_body_util::Full;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
+use crate::http_transport::{HttpTransport, unavailable};
 use crate::{Object, ObjectStore, Precondition, StoreError};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -17,7 +15,7 @@
 /// Speaks to the platform's object API over HTTP.
 #[derive(Clone, Debug)]
 pub struct HttpStore {
-    client: Client<HttpConnector, Full<Bytes>>,
+    transport: HttpTransport,
     platform: SocketAddr,
     timeout: Duration,
 }
@@ -25,33 +23,13 @@
 impl HttpStore {
     /// Returns a client of the platform at `platform`.
     pub fn new(platform: SocketAddr) -> Self {
-        let client = Client::builder(TokioExecutor::new()).build_http();
         Self {
-            client,
+            transport: HttpTransport::new(),
             platform,
             timeout: CALL_TIMEOUT,
         }
     }
 
-    async fn call(
-        &self,
-        req: Request<Full<Bytes>>,
-        timeout: Duration,
-    ) -> Result<(StatusCode, Bytes), StoreError> {
-        let exchange = async {
-            let resp = self.client.request(req).await.map_err(unavailable)?;
-            let status = resp.status();
-            let body = resp.into_body().collect().await.map_err(unavailable)?;
-            Ok((status, body.to_bytes()))
-        };
-        match tokio::time::timeout(timeout, exchange).await {
-            Ok(result) => result,
-            Err(_) => Err(StoreError::Unavailable {
-                reason: "timeout".into(),
-            }),
-        }
-    }
-
     fn request(
         &self,
         method: Method,
@@ -77,7 +55,7 @@
         timeout: Duration,
     ) -> Result<Option<T>, StoreError> {
         let req = self.request(Method::GET, path, Bytes::new(), Precondition::None);
-        let (status, body) = self.call(req, timeout).await?;
+        let (status, body) = self.transport.call(req, timeout).await?;
         match status {
             StatusCode::OK => serde_json::from_slice(&body).map(Some).map_err(unavailable),
             StatusCode::NOT_FOUND => Ok(None),
@@ -99,7 +77,7 @@
     async fn put(&self, key: &str, value: Value, pre: Precondition) -> Result<u64, StoreError> {
         let path = format!("/objects/{key}");
         let req = self.request(Method::PUT, &path, value.to_string().into(), pre);
-        let (status, body) = self.call(req, self.timeout).await?;
+        let (status, body) = self.transport.call(req, self.timeout).await?;
         match status {
             StatusCode::OK => serde_json::from_slice(&body).map_err(unavailable),
             status => Err(from_status(status, key)),
@@ -118,12 +96,6 @@
     }
 }
 
-fn unavailable(e: impl std::fmt::Display) -> StoreError {
-    StoreError::Unavailable {
-        reason: e.to_string().into(),
-    }
-}
-
 fn from_status(status: StatusCode, key: &str) -> StoreError {
     match status {
         StatusCode::PRECONDITION_FAILED => StoreError::Conflict { key: key.into() },
--- a/tests/testsuite/platform_edits.rs
+++ b/tests/testsuite/platform_edits.rs
@@ -7,7 +7,7 @@
 use zinniadrift_core::error::ErrorKind;
 use zinniadrift_core::settings::{Document, Node};
 use zinniadrift_core::units::Version;
-use zinniadrift_platform::{
+use zinniadrift_store::{
     EditError, MemoryStore, ObjectStore, Precondition, RepositorySettings, SettingsRepository,
     StoreFaults, StoredSettings,
 };
--- a/tests/testsuite/platform_history.rs
+++ b/tests/testsuite/platform_history.rs
@@ -14,7 +14,7 @@
 use todc_utils::specifications::Specification;
 
 use zinniadrift_core::settings::{Document, Node};
-use zinniadrift_platform::{
+use zinniadrift_store::{
     EditError, MemoryStore, RepositorySettings, SettingsRepository, StoreFaults, StoredSettings,
 };
 
--- a/tests/testsuite/processes_world.rs
+++ b/tests/testsuite/processes_world.rs
@@ -21,9 +21,9 @@
 use zinniadrift_lab::doubles::{
     Caller, CallerSettings, TargetBehavior, TargetSettings, serve_platform, serve_target,
 };
-use zinniadrift_platform::{HttpStore, SettingsRepository};
 use zinniadrift_runtime::daemon::{DaemonSettings, Role, Seed};
 use zinniadrift_runtime::timeline::{Collector, Filter, serve_collector};
+use zinniadrift_store::{HttpStore, SettingsRepository};
 
 /// The time in which a change must become visible, on a machine that may be very busy.
 const PATIENCE: Duration = Duration::from_secs(60);
