Let a few relays watch the store for all balancers

Three balancers, the seeds, now watch; all others ask a relay for the changes they miss, relays ask each other, and without a current relay a balancer watches itself. The first list of a process may be stale, since the changes follow.

Packets that arrive before the first list are kept instead of dropped.

--- a/crates/zinniadrift-core/src/steering/directory.rs
+++ b/crates/zinniadrift-core/src/steering/directory.rs
@@ -1,16 +1,18 @@
 use std::time::Duration;
 
 use hashbrown::{HashMap, HashSet};
+use serde::{Deserialize, Serialize};
 
 use crate::ids::ServiceId;
 use crate::units::MonoTime;
 
+use super::change_log::ChangeLog;
 use super::cookie::TargetTag;
 use super::target_state::{Presence, TargetRecord};
 use super::{DirectoryListing, InstanceState, Revision, TargetInstance};
 
 /// Is one change of the store's list of targets.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum TargetChange {
     /// A target registered or changed its entry.
     Put(TargetInstance),
@@ -32,6 +34,9 @@
     by_tag: HashMap<TargetTag, Vec<TargetIndex>>,
     by_service: HashMap<ServiceId, Vec<TargetIndex>>,
     next: u32,
+    log: ChangeLog,
+    /// The revision of the last state that differed from the one before.
+    changed: Revision,
 }
 
 impl Directory {
@@ -56,21 +61,35 @@
         self.records.values().filter(listed).count()
     }
 
+    /// Returns the changes after `revision`, or `None` if some are not known one by one.
+    pub(crate) fn changes_since(&self, revision: Revision) -> Option<Vec<TargetChange>> {
+        self.log.since(revision)
+    }
+
+    /// Returns the revision of the last state that differed from the one before.
+    pub const fn changed(&self) -> Revision {
+        self.changed
+    }
+
     /// Replaces the state by a full list; an older list than the present state is ignored.
     ///
-    /// Returns whether the list was taken.
-    pub(crate) fn replace(&mut self, listing: DirectoryListing, now: MonoTime) -> bool {
+    /// Returns the differences, or `None` if the list was ignored.
+    pub(crate) fn replace(
+        &mut self,
+        listing: DirectoryListing,
+        now: MonoTime,
+    ) -> Option<Vec<TargetChange>> {
         if listing.as_of < self.as_of {
-            return false;
-        }
-        self.as_of = listing.as_of;
-        for name in self.missing_from(&listing) {
-            self.remove(&name, now);
+            return None;
         }
-        for instance in listing.targets {
-            self.put(instance, now);
+        if self.records.is_empty() {
+            self.log = ChangeLog::starting_after(listing.as_of);
         }
-        true
+        let missing = self.missing_from(&listing).into_iter();
+        let removed = missing.map(TargetChange::Removed);
+        let put = listing.targets.into_iter().map(TargetChange::Put);
+        let changes = removed.chain(put).collect();
+        Some(self.apply(changes, listing.as_of, now))
     }
 
     fn missing_from(&self, listing: &DirectoryListing) -> Vec<Box<str>> {
@@ -79,18 +98,47 @@
         known.filter(|n| !names.contains(&***n)).cloned().collect()
     }
 
-    /// Applies changes up to `as_of`; changes that the state contains already are ignored.
-    pub(crate) fn apply(&mut self, changes: Vec<TargetChange>, as_of: Revision, now: MonoTime) {
+    /// Applies changes up to `as_of` and returns those that were new.
+    ///
+    /// Changes of an older state than the present one are ignored.
+    pub(crate) fn apply(
+        &mut self,
+        changes: Vec<TargetChange>,
+        as_of: Revision,
+        now: MonoTime,
+    ) -> Vec<TargetChange> {
         if as_of < self.as_of {
-            return;
+            return Vec::new();
         }
         self.as_of = as_of;
+        let mut news = Vec::new();
         for change in changes {
+            if !self.is_new(&change) {
+                continue;
+            }
+            self.log.push(as_of, change.clone());
+            self.changed = as_of;
+            news.push(change.clone());
             match change {
                 TargetChange::Put(instance) => self.put(instance, now),
                 TargetChange::Removed(name) => self.remove(&name, now),
             }
         }
+        news
+    }
+
+    fn is_new(&self, change: &TargetChange) -> bool {
+        let listed = |name: &str| {
+            let index = self.by_name.get(name);
+            let record = index.and_then(|index| self.records.get(index));
+            record.filter(|r| r.presence == Presence::Listed)
+        };
+        match change {
+            TargetChange::Put(instance) => {
+                listed(&instance.name).is_none_or(|r| r.instance != *instance)
+            }
+            TargetChange::Removed(name) => listed(name).is_some(),
+        }
     }
 
     fn put(&mut self, instance: TargetInstance, now: MonoTime) {
--- a/crates/zinniadrift-core/src/steering/mod.rs
+++ b/crates/zinniadrift-core/src/steering/mod.rs
@@ -12,6 +12,7 @@
 //! assert!(!steering.can_place());
 //! ```
 
+mod change_log;
 mod choice;
 mod cookie;
 mod counters;
@@ -20,7 +21,10 @@
 mod flow_tracker;
 mod instance;
 mod knowledge;
+mod peer_update;
+mod relay_choice;
 mod route;
+mod route_history;
 mod route_profile;
 mod route_table;
 mod segment;
@@ -39,7 +43,10 @@
 pub use directory::{Directory, TargetChange};
 pub use instance::{InstanceState, TargetInstance};
 pub use knowledge::{DirectoryListing, Knowledge, Revision};
+pub use peer_update::{KnownState, PeerUpdate, TargetNews};
+pub use relay_choice::RelayChoice;
 pub use route::{Backend, Route, RouteKind};
+pub use route_history::RouteDelta;
 pub use route_table::RouteTable;
 pub use segment::{Segment, SegmentKind};
 pub use settings::{SteeringSettings, WatchSettings};
--- /dev/null
+++ b/crates/zinniadrift-core/src/steering/route_history.rs
@@ -0,0 +1,80 @@
+use std::collections::VecDeque;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::units::Version;
+
+use super::{Route, RouteTable};
+
+/// Is what changed between two versions of the configuration.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RouteDelta {
+    /// The version that the delta applies to; `None` if it holds all routes.
+    pub base: Option<Version>,
+    /// The version that it leads to.
+    pub version: Version,
+    /// The time after which idle flows may be forgotten.
+    pub idle_timeout: Duration,
+    /// New and changed routes.
+    pub put: Vec<Route>,
+    /// The addresses of dropped routes.
+    pub dropped: Vec<SocketAddrV4>,
+}
+
+impl RouteDelta {
+    /// Returns the table that the delta leads to, or `None` if it does not apply to `table`.
+    pub fn apply(self, table: &RouteTable) -> Option<RouteTable> {
+        let kept: Vec<Route> = match self.base {
+            None => Vec::new(),
+            Some(base) if base == table.version() => {
+                let replaced = |a: &SocketAddrV4| self.put.iter().any(|r| r.address == *a);
+                let stays =
+                    |r: &&Route| !self.dropped.contains(&r.address) && !replaced(&r.address);
+                table.iter().filter(stays).cloned().collect()
+            }
+            Some(_) => return None,
+        };
+        let routes = kept.into_iter().chain(self.put).collect();
+        Some(RouteTable::new(self.version, self.idle_timeout, routes))
+    }
+}
+
+/// Remembers the latest configurations, so that peers get only what changed.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct RouteHistory {
+    tables: VecDeque<Arc<RouteTable>>,
+}
+
+/// The number of remembered versions; a peer asks at least once a second.
+const CAPACITY: usize = 8;
+
+impl RouteHistory {
+    pub(crate) fn push(&mut self, table: Arc<RouteTable>) {
+        if self.tables.len() >= CAPACITY {
+            self.tables.pop_front();
+        }
+        self.tables.push_back(table);
+    }
+
+    /// Returns what leads from `from` to the newest version; `None` if `from` is the newest.
+    pub(crate) fn delta(&self, from: Version) -> Option<RouteDelta> {
+        let newest = self.tables.back()?;
+        if newest.version() <= from {
+            return None;
+        }
+        let base = self.tables.iter().find(|t| t.version() == from);
+        let unchanged = |r: &Route| base.is_some_and(|b| b.get(r.address) == Some(r));
+        let dropped = base.into_iter().flat_map(|b| b.iter());
+        let dropped = dropped.filter(|r| newest.get(r.address).is_none());
+        Some(RouteDelta {
+            base: base.map(|b| b.version()),
+            version: newest.version(),
+            idle_timeout: newest.idle_timeout(),
+            put: newest.iter().filter(|r| !unchanged(r)).cloned().collect(),
+            dropped: dropped.map(|r| r.address).collect(),
+        })
+    }
+}
--- a/crates/zinniadrift-core/src/steering/settings.rs
+++ b/crates/zinniadrift-core/src/steering/settings.rs
@@ -3,7 +3,7 @@
 use crate::ids::ZoneName;
 
 /// Sets the limits of [`Steering`](super::Steering).
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct SteeringSettings {
     /// The availability zone of the balancer.
     pub zone: ZoneName,
@@ -14,7 +14,7 @@
     pub lapse_grace: Duration,
     /// The age from which a directory or configuration is no ground for a reset.
     ///
-    /// Two rounds of the watch loop.
+    /// The store confirms at least every `watch_wait`, and a relay and the way add two seconds.
     pub fresh_for: Duration,
     /// The longest life of a flow, for which ended targets are remembered.
     pub flow_lifetime: Duration,
@@ -33,7 +33,7 @@
         Self {
             zone: ZoneName::default(),
             lapse_grace: Duration::from_millis(2_500),
-            fresh_for: Duration::from_secs(5),
+            fresh_for: Duration::from_secs(6),
             flow_lifetime: Duration::from_secs(60),
             suspect_for: Duration::from_millis(1_500),
             tracked_flows: 16_384,
@@ -43,7 +43,7 @@
 }
 
 /// Sets the pace of [`WatchLoop`](super::WatchLoop).
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct WatchSettings {
     /// The longest wait of one watch call.
     pub watch_wait: Duration,
@@ -59,7 +59,7 @@
     fn default() -> Self {
         Self {
             watch_wait: Duration::from_secs(4),
-            gather: Duration::from_millis(600),
+            gather: Duration::from_millis(400),
             retry_min: Duration::from_millis(100),
             retry_max: Duration::from_secs(1),
         }
--- a/crates/zinniadrift-core/src/steering/state_machine.rs
+++ b/crates/zinniadrift-core/src/steering/state_machine.rs
@@ -13,15 +13,16 @@
 use super::cookie::TargetTag;
 use super::directory::TargetIndex;
 use super::flow_tracker::FlowTracker;
+use super::route_history::RouteHistory;
 use super::route_profile::RouteProfile;
 use super::target_state::{Presence, TargetRecord};
 use super::tracked_flow::FlowPhase;
 use super::unexplained::Unexplained;
 use super::zone_health::ZoneHealth;
 use super::{
-    Cookie, Decision, Directory, DirectoryListing, DropReason, Knowledge, ResetReason, Revision,
-    Route, RouteTable, Segment, SegmentKind, SteeringCounters, SteeringSettings, TargetChange,
-    Verdict,
+    Cookie, Decision, Directory, DirectoryListing, DropReason, Knowledge, KnownState, PeerUpdate,
+    ResetReason, Revision, Route, RouteTable, Segment, SegmentKind, SteeringCounters,
+    SteeringSettings, TargetChange, TargetNews, Verdict,
 };
 
 /// Decides which target each packet goes to.
@@ -36,6 +37,8 @@
     directory_known: Knowledge,
     routes: Arc<RouteTable>,
     routes_known: Knowledge,
+    routes_as_of: Revision,
+    route_history: RouteHistory,
     flows: FlowTracker,
     profiles: HashMap<SocketAddrV4, RouteProfile>,
     zones: ZoneHealth,
@@ -75,6 +78,8 @@
             directory_known: Knowledge::default(),
             routes: Arc::default(),
             routes_known: Knowledge::default(),
+            routes_as_of: Revision::default(),
+            route_history: RouteHistory::default(),
             profiles: HashMap::new(),
             zones: ZoneHealth::default(),
             unknown_tags: Unexplained::new(),
@@ -86,6 +91,11 @@
         }
     }
 
+    /// Replaces the settings; the number of observed flows keeps its first limit.
+    pub fn set_settings(&mut self, cfg: SteeringSettings) {
+        self.cfg = cfg;
+    }
+
     /// Returns what was decided since the start.
     pub const fn counters(&self) -> &SteeringCounters {
         &self.counters
@@ -128,18 +138,80 @@
 
     /// Takes a full list of the targets that was true at `confirmed`.
     pub fn on_listing(&mut self, now: MonoTime, confirmed: MonoTime, listing: DirectoryListing) {
-        if self.directory.replace(listing, now) {
-            self.directory_known.confirm(confirmed);
+        let Some(news) = self.directory.replace(listing, now) else {
+            return;
+        };
+        self.directory_known.confirm(confirmed);
+        self.note_changes(&news);
+    }
+
+    /// Takes changes of the list of targets up to `as_of`, which was the newest at `confirmed`.
+    pub fn on_changes(
+        &mut self,
+        now: MonoTime,
+        confirmed: MonoTime,
+        changes: Vec<TargetChange>,
+        as_of: Revision,
+    ) {
+        if as_of < self.directory.as_of() {
+            return;
         }
+        let news = self.directory.apply(changes, as_of, now);
+        self.directory_known.confirm(confirmed);
+        self.note_changes(&news);
     }
 
-    /// Takes changes of the list of targets up to `as_of`.
-    pub fn on_changes(&mut self, now: MonoTime, changes: Vec<TargetChange>, as_of: Revision) {
-        for change in &changes {
+    /// Takes the news of a peer.
+    pub fn on_peer_update(&mut self, now: MonoTime, update: PeerUpdate) {
+        let directory_at = now - update.directory_age;
+        match update.targets {
+            TargetNews::All(listing) => self.on_listing(now, directory_at, listing),
+            TargetNews::Changes(changes) => {
+                self.on_changes(now, directory_at, changes, update.known.targets);
+            }
+        }
+        let routes_at = now - update.routes_age;
+        let routes = Arc::clone(&self.routes);
+        match update.routes.and_then(|delta| delta.apply(&routes)) {
+            Some(table) => self.on_routes(routes_at, update.known.routes, Arc::new(table)),
+            None if update.known.version == routes.version() => {
+                self.confirm_routes(routes_at, update.known.routes);
+            }
+            None => {}
+        }
+    }
+
+    /// Returns what this balancer knows, to ask a peer for the rest.
+    pub fn known(&self) -> KnownState {
+        KnownState {
+            targets: self.directory.as_of(),
+            routes: self.routes_as_of,
+            version: self.routes.version(),
+        }
+    }
+
+    /// Returns what a peer that knows `known` misses; `None` while this balancer knows nothing.
+    pub fn update_for(&self, now: MonoTime, known: KnownState) -> Option<PeerUpdate> {
+        let directory_age = self.directory_known.age(now)?;
+        let routes_age = self.routes_known.age(now)?;
+        let targets = match self.directory.changes_since(known.targets) {
+            Some(changes) => TargetNews::Changes(changes),
+            None => TargetNews::All(self.directory.listing()),
+        };
+        Some(PeerUpdate {
+            known: self.known(),
+            directory_age,
+            routes_age,
+            targets,
+            routes: self.route_history.delta(known.version),
+        })
+    }
+
+    fn note_changes(&mut self, news: &[TargetChange]) {
+        let as_of = self.directory.as_of();
+        for change in news {
             self.note_change(change, as_of);
         }
-        self.directory.apply(changes, as_of, now);
-        self.directory_known.confirm(now);
     }
 
     fn note_change(&mut self, change: &TargetChange, directory: Revision) {
@@ -171,13 +243,16 @@
         }
     }
 
-    /// Takes a configuration that was the newest at `confirmed`; a lower version is ignored.
-    pub fn on_routes(&mut self, confirmed: MonoTime, table: Arc<RouteTable>) {
+    /// Takes the configuration of the store's revision `as_of`, the newest at `confirmed`.
+    ///
+    /// A lower version than the one in force is ignored.
+    pub fn on_routes(&mut self, confirmed: MonoTime, as_of: Revision, table: Arc<RouteTable>) {
         if table.version() < self.routes.version() {
             return;
         }
-        self.routes_known.confirm(confirmed);
-        if table.version() == self.routes.version() && !self.routes.is_empty() {
+        let is_new = table.version() > self.routes.version();
+        if !is_new {
+            self.confirm_routes(confirmed, as_of);
             return;
         }
         self.note(Decision::Configured {
@@ -186,12 +261,20 @@
         });
         self.profiles
             .retain(|address, _| table.get(*address).is_some());
+        self.route_history.push(Arc::clone(&table));
         self.routes = table;
+        self.confirm_routes(confirmed, as_of);
     }
 
-    /// Records that the configuration in force is still the newest.
-    pub fn confirm_routes(&mut self, now: MonoTime) {
-        self.routes_known.confirm(now);
+    /// Records that the configuration in force is the newest up to `as_of`.
+    ///
+    /// Before the first configuration there is nothing to confirm.
+    pub fn confirm_routes(&mut self, confirmed: MonoTime, as_of: Revision) {
+        if self.routes.version() == Version::default() {
+            return;
+        }
+        self.routes_as_of = self.routes_as_of.max(as_of);
+        self.routes_known.confirm(confirmed);
     }
 
     /// Records that the process stood still, so that its knowledge may be outdated.
--- a/crates/zinniadrift-core/src/steering/watch_loop.rs
+++ b/crates/zinniadrift-core/src/steering/watch_loop.rs
@@ -13,6 +13,7 @@
 pub struct WatchLoop {
     cfg: WatchSettings,
     position: Option<Revision>,
+    listed: bool,
     failures: u32,
     not_before: MonoTime,
 }
@@ -22,8 +23,13 @@
 pub enum StoreStep {
     /// Make no call until then.
     Pause(MonoTime),
+    /// Make no call until something changes.
+    Rest,
     /// Read all objects.
-    List,
+    List {
+        /// Whether an answer that is seconds old will do, because the changes since are read next.
+        stale: bool,
+    },
     /// Wait for changes after `from`.
     Watch {
         /// The revision up to which changes are known.
@@ -56,18 +62,26 @@
         Self {
             cfg,
             position: None,
+            listed: false,
             failures: 0,
             not_before: MonoTime::default(),
         }
     }
 
-    /// Returns the next call.
-    pub fn next_step(&self, now: MonoTime) -> StoreStep {
+    /// Returns the next call; `needed` tells whether no peer brings the news.
+    ///
+    /// `known` is the revision up to which peers have told everything.
+    pub fn next_step(&self, now: MonoTime, needed: bool, known: Revision) -> StoreStep {
+        if self.position.is_some() && !needed {
+            return StoreStep::Rest;
+        }
         if now < self.not_before {
             return StoreStep::Pause(self.not_before);
         }
-        match self.position {
-            None => StoreStep::List,
+        match self.position.map(|p| p.max(known)) {
+            None => StoreStep::List {
+                stale: !self.listed,
+            },
             Some(from) => StoreStep::Watch {
                 from,
                 wait: self.cfg.watch_wait,
@@ -78,6 +92,7 @@
     /// Records an answer that holds everything up to `as_of`; `changed` tells whether it was new.
     pub fn on_answer(&mut self, now: MonoTime, as_of: Revision, changed: bool) {
         self.failures = 0;
+        self.listed = true;
         self.position = self.position.max(Some(as_of));
         if changed {
             self.not_before = now + self.cfg.gather;
--- a/crates/zinniadrift-runtime/src/steering/border.rs
+++ b/crates/zinniadrift-runtime/src/steering/border.rs
@@ -24,8 +24,12 @@
     /// Writes a reset of the packet's flow into `out` and returns where it goes.
     fn encode_reset(&self, seg: &Segment, seq: u32, out: &mut Vec<u8>) -> SocketAddr;
 
-    /// Reads all objects of a feed from the store.
-    fn list(&self, feed: Feed) -> impl Future<Output = Result<FeedAnswer, CallFault>> + Send;
+    /// Reads all objects of a feed from the store; with `stale` they may be seconds old.
+    fn list(
+        &self,
+        feed: Feed,
+        stale: bool,
+    ) -> impl Future<Output = Result<FeedAnswer, CallFault>> + Send;
 
     /// Waits up to `wait` for changes of a feed after `from`.
     fn watch(
--- a/crates/zinniadrift-runtime/src/steering/daemon.rs
+++ b/crates/zinniadrift-runtime/src/steering/daemon.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use snafu::ResultExt;
@@ -5,112 +6,108 @@
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
+use xxhash_rust::xxh3::xxh3_64;
 
 use zinniadrift_core::steering::Steering;
 
+use super::decision_log::DecisionLog;
 use super::driver::{Driver, DriverCounters};
-use super::feed::FeedTask;
-use super::front::{SNAPSHOT_PATH, listen, serve_readiness, serve_text};
-use super::log::DecisionLog;
-use super::peer_client::PeerClient;
-use super::{Border, EdgeSettings, Feed};
+use super::feed_task::FeedTask;
+use super::front::{listen, serve_metrics, serve_peers, serve_readiness};
+use super::held_datagrams::HeldDatagrams;
+use super::input::StateMark;
+use super::peer_service::PeerService;
+use super::peer_task::PeerTask;
+use super::reload::ReloadTask;
+use super::{Border, EdgeConfig, EdgeSettings, Feed};
 use crate::daemon::{BindSnafu, DaemonError, RunClock, shutdown_signal};
 
 /// The queue between tasks and the driver; the driver takes inputs faster than they arrive.
-const QUEUE: usize = 16;
+const QUEUE: usize = 64;
 
-/// Forwards packets until the process is asked to stop.
+/// Forwards packets until the process is asked to stop; `load` reads the settings.
 ///
 /// # Errors
 ///
-/// Fails if a socket cannot be opened.
-pub async fn run_edge<B: Border>(border: B, cfg: EdgeSettings) -> Result<(), DaemonError> {
+/// Fails if the settings cannot be read or a socket cannot be opened.
+pub async fn run_edge<B, F>(load: F) -> Result<(), DaemonError>
+where
+    B: Border,
+    F: Fn() -> Result<EdgeConfig<B>, DaemonError> + Send + Sync + 'static,
+{
     let clock = RunClock::start();
-    let bind = |address: String| BindSnafu { address };
-    let socket = UdpSocket::bind(cfg.packets).await;
-    let socket = socket.context(bind(cfg.packets.to_string()))?;
-    let readiness = listen(cfg.readiness).await;
-    let readiness = readiness.context(bind(cfg.readiness.to_string()))?;
-
-    let border = Arc::new(border);
-    let (stop, leave) = (CancellationToken::new(), CancellationToken::new());
+    let EdgeConfig { border, settings } = load()?;
+    let cfg = &settings;
+    let sockets = Sockets::open(cfg).await?;
     let tasks = TaskTracker::new();
+    let (stop, leave) = (CancellationToken::new(), CancellationToken::new());
+    let (border_tx, border) = watch::channel(Arc::new(border));
+    let (relays_tx, relays) = watch::channel(cfg.seeds.clone());
+    let (inputs_tx, inputs) = mpsc::channel(QUEUE);
+    let (mark, mark_rx) = watch::channel(StateMark::default());
+    let (needs_store, needed) = watch::channel(true);
     let (ready, ready_rx) = watch::channel(false);
-    let (pauses, pauses_rx) = watch::channel(0);
-    let (tx, knowledge) = mpsc::channel(QUEUE);
-    let mut failing = Vec::new();
+
     for feed in [Feed::Targets, Feed::Routes] {
-        let (failing_tx, failing_rx) = watch::channel(false);
-        failing.push(failing_rx);
         let task = FeedTask {
-            border: Arc::clone(&border),
+            border: border.clone(),
             feed,
             cfg: cfg.watch.clone(),
             clock,
-            tx: tx.clone(),
-            failing: failing_tx,
-            pauses: pauses_rx.clone(),
+            inputs: inputs_tx.clone(),
+            mark: mark_rx.clone(),
+            needed: needed.clone(),
             stop: stop.clone(),
         };
         tasks.spawn(task.run());
     }
-    tasks.spawn(serve_readiness(readiness, ready_rx, stop.clone()));
-
-    let (snapshots_tx, snapshots) = mpsc::channel(QUEUE);
-    if let Some(address) = cfg.peer {
-        let listener = listen(address).await.context(bind(address.to_string()))?;
-        let json = "application/json";
-        tasks.spawn(serve_text(
-            listener,
-            SNAPSHOT_PATH,
-            json,
-            snapshots_tx,
-            stop.clone(),
-        ));
-    }
-    let (metrics_tx, metrics) = mpsc::channel(QUEUE);
-    if let Some(address) = cfg.metrics {
-        let listener = listen(address).await.context(bind(address.to_string()))?;
-        let text = "text/plain";
-        tasks.spawn(serve_text(
-            listener,
-            "/metrics",
-            text,
-            metrics_tx,
-            stop.clone(),
-        ));
-    }
-    if let Ok(failing) = failing.try_into() {
-        let client = PeerClient {
-            peers: cfg.seeds.clone(),
-            own: cfg.peer,
-            failing,
-            tx,
-            stop: stop.clone(),
+    let peers = PeerTask {
+        relays,
+        own: cfg.peer,
+        first: xxh3_64(cfg.name.as_bytes()) as usize,
+        mark: mark_rx.clone(),
+        inputs: inputs_tx.clone(),
+        needs_store,
+        stop: stop.clone(),
+    };
+    tasks.spawn(peers.run());
+    tasks.spawn(serve_readiness(sockets.readiness, ready_rx, stop.clone()));
+    if let Some(listener) = sockets.peer {
+        let service = PeerService {
+            mark: mark_rx,
+            inputs: inputs_tx.clone(),
         };
-        tasks.spawn(client.run());
+        tasks.spawn(serve_peers(listener, service, stop.clone()));
     }
-    let asked = leave.clone();
-    let over = stop.clone();
-    tasks.spawn(async move {
-        tokio::select! {
-            () = shutdown_signal() => asked.cancel(),
-            () = over.cancelled() => {}
-        }
-    });
+    if let Some(listener) = sockets.metrics {
+        tasks.spawn(serve_metrics(listener, inputs_tx.clone(), stop.clone()));
+    }
+    tasks.spawn(cancel_on_signal(leave.clone(), stop.clone()));
+    let reload = ReloadTask {
+        load,
+        border: border_tx,
+        relays: relays_tx,
+        inputs: inputs_tx,
+        settings: settings.clone(),
+        stop: stop.clone(),
+    };
+    tasks.spawn(reload.run());
     tasks.close();
-    tracing::info!(name = %cfg.name, packets = %cfg.packets, "balancer started");
-    let seed = clock.now().as_micros();
+    tracing::info!(
+        name = %cfg.name,
+        packets = %cfg.packets,
+        seeds = ?cfg.seeds,
+        "balancer started"
+    );
     let mut driver = Driver {
         border,
         clock,
-        socket,
-        steering: Steering::new(cfg.steering, seed),
+        socket: sockets.packets,
+        steering: Steering::new(cfg.steering.clone(), clock.now().as_micros()),
         ready,
-        pauses,
-        knowledge,
-        snapshots,
-        metrics,
+        mark,
+        inputs,
+        held: HeldDatagrams::default(),
         leave,
         stop_within: cfg.stop_within,
         log: DecisionLog::default(),
@@ -120,6 +117,51 @@
     drop(driver);
     stop.cancel();
     tasks.wait().await;
-    tracing::info!(name = %cfg.name, "balancer stopped");
+    tracing::info!(name = %settings.name, "balancer stopped");
     Ok(())
 }
+
+async fn cancel_on_signal(leave: CancellationToken, stop: CancellationToken) {
+    tokio::select! {
+        () = shutdown_signal() => leave.cancel(),
+        () = stop.cancelled() => {}
+    }
+}
+
+/// Holds the sockets of a balancer; the packet socket opens first, so that no packet is refused.
+struct Sockets {
+    packets: UdpSocket,
+    readiness: tokio::net::TcpListener,
+    peer: Option<tokio::net::TcpListener>,
+    metrics: Option<tokio::net::TcpListener>,
+}
+
+impl Sockets {
+    async fn open(cfg: &EdgeSettings) -> Result<Self, DaemonError> {
+        let packets = UdpSocket::bind(cfg.packets).await;
+        let packets = packets.context(BindSnafu {
+            address: cfg.packets.to_string(),
+        })?;
+        Ok(Self {
+            packets,
+            readiness: open_listener(cfg.readiness).await?,
+            peer: open_optional(cfg.peer).await?,
+            metrics: open_optional(cfg.metrics).await?,
+        })
+    }
+}
+
+async fn open_optional(
+    address: Option<SocketAddr>,
+) -> Result<Option<tokio::net::TcpListener>, DaemonError> {
+    match address {
+        Some(address) => open_listener(address).await.map(Some),
+        None => Ok(None),
+    }
+}
+
+async fn open_listener(address: SocketAddr) -> Result<tokio::net::TcpListener, DaemonError> {
+    listen(address).await.context(BindSnafu {
+        address: address.to_string(),
+    })
+}
--- a/crates/zinniadrift-runtime/src/steering/driver.rs
+++ b/crates/zinniadrift-runtime/src/steering/driver.rs
@@ -9,10 +9,10 @@
 use zinniadrift_core::steering::{Steering, Verdict};
 use zinniadrift_core::units::MonoTime;
 
-use super::answer_source::KnowledgeInput;
-use super::front::TextRequest;
-use super::log::DecisionLog;
-use super::{Border, Feed, PeerSnapshot, Update};
+use super::decision_log::DecisionLog;
+use super::held_datagrams::HeldDatagrams;
+use super::input::{Input, StateMark};
+use super::{Border, Feed, FeedAnswer, Update};
 use crate::daemon::RunClock;
 
 /// The datagrams read before other events get their turn.
@@ -24,15 +24,14 @@
 
 /// Moves packets between the socket and the core.
 pub(super) struct Driver<B> {
-    pub(super) border: Arc<B>,
+    pub(super) border: watch::Receiver<Arc<B>>,
     pub(super) clock: RunClock,
     pub(super) socket: UdpSocket,
     pub(super) steering: Steering,
     pub(super) ready: watch::Sender<bool>,
-    pub(super) pauses: watch::Sender<u64>,
-    pub(super) knowledge: mpsc::Receiver<KnowledgeInput>,
-    pub(super) snapshots: mpsc::Receiver<TextRequest>,
-    pub(super) metrics: mpsc::Receiver<TextRequest>,
+    pub(super) mark: watch::Sender<StateMark>,
+    pub(super) inputs: mpsc::Receiver<Input>,
+    pub(super) held: HeldDatagrams,
     pub(super) leave: CancellationToken,
     pub(super) stop_within: Duration,
     pub(super) log: DecisionLog,
@@ -74,9 +73,10 @@
                     last_packet = now;
                     self.drain_socket(now, &mut buf, &mut out);
                 }
-                Some(input) = self.knowledge.recv() => self.take(input),
-                Some(tx) = self.snapshots.recv() => self.answer_snapshot(tx),
-                Some(tx) = self.metrics.recv() => self.answer_metrics(tx),
+                Some(input) = self.inputs.recv() => {
+                    self.take(input);
+                    self.release_held(&mut out);
+                }
                 () = self.leave.cancelled(), if leaving_since.is_none() => {
                     tracing::info!("leaving: reported as not ready, still forwarding");
                     leaving_since = Some(self.clock.now());
@@ -111,7 +111,7 @@
         tracing::warn!(gap_ms = ms, "process was paused; knowledge is read again");
         self.counters.pauses += 1;
         self.steering.on_pause(now);
-        self.pauses.send_modify(|n| *n += 1);
+        self.mark.send_modify(|m| m.pauses += 1);
     }
 
     fn drain_socket(&mut self, now: MonoTime, buf: &mut [u8], out: &mut Vec<u8>) {
@@ -130,23 +130,38 @@
     }
 
     fn on_datagram(&mut self, now: MonoTime, datagram: &[u8], out: &mut Vec<u8>) {
-        let Some(seg) = self.border.decode(datagram) else {
+        if !self.steering.can_place() {
+            self.held.push(now, datagram);
+            return;
+        }
+        let border = Arc::clone(&self.border.borrow());
+        let Some(seg) = border.decode(datagram) else {
             self.counters.malformed += 1;
             return;
         };
         match self.steering.on_segment(now, &seg) {
             Verdict::Forward { to, guard, cookie } => {
-                self.border.encode_forward(datagram, guard, cookie, out);
+                border.encode_forward(datagram, guard, cookie, out);
                 self.send(to.into(), out);
             }
             Verdict::Reset { seq, .. } => {
-                let to = self.border.encode_reset(&seg, seq, out);
+                let to = border.encode_reset(&seg, seq, out);
                 self.send(to, out);
             }
             Verdict::Drop(_) => {}
         }
     }
 
+    fn release_held(&mut self, out: &mut Vec<u8>) {
+        if !self.steering.can_place() {
+            return;
+        }
+        let now = self.clock.now();
+        while let Some(datagram) = self.held.pop(now) {
+            self.on_datagram(now, &datagram, out);
+        }
+    }
+
     fn send(&mut self, to: SocketAddr, datagram: &[u8]) {
         if let Err(e) = self.socket.try_send_to(datagram, to) {
             self.counters.send_failed += 1;
@@ -154,22 +169,52 @@
         }
     }
 
-    fn take(&mut self, input: KnowledgeInput) {
+    fn take(&mut self, input: Input) {
         let now = self.clock.now();
-        let confirmed = now - input.age;
-        tracing::debug!(source = %input.source, feed = %input.feed, as_of = %input.answer.as_of, "answer");
-        let as_of = input.answer.as_of;
-        match (input.answer.update, input.feed) {
-            (Some(Update::Listing(listing)), _) => {
-                self.steering.on_listing(now, confirmed, listing);
+        match input {
+            Input::Store(feed, answer) => self.take_answer(now, feed, answer),
+            Input::Peer(update) => self.steering.on_peer_update(now, *update),
+            Input::Question(known, tx) => {
+                // The asking connection may have closed meanwhile.
+                tx.send(self.steering.update_for(now, known))
+                    .unwrap_or_default();
+            }
+            Input::Metrics(tx) => tx.send(self.metrics()).unwrap_or_default(),
+            Input::Settings(cfg) => {
+                self.stop_within = cfg.stop_within;
+                self.steering.set_settings(cfg.steering);
+            }
+        }
+        self.publish_mark();
+    }
+
+    fn take_answer(&mut self, now: MonoTime, feed: Feed, answer: FeedAnswer) {
+        let as_of = answer.as_of;
+        tracing::debug!(%feed, %as_of, changed = answer.update.is_some(), "store answered");
+        match (answer.update, feed) {
+            (Some(Update::Listing(listing)), _) => self.steering.on_listing(now, now, listing),
+            (Some(Update::Changes(changes)), _) => {
+                self.steering.on_changes(now, now, changes, as_of);
             }
-            (Some(Update::Changes(changes)), _) => self.steering.on_changes(now, changes, as_of),
-            (Some(Update::Routes(table)), _) => self.steering.on_routes(confirmed, table),
-            (None, Feed::Targets) => self.steering.on_changes(now, Vec::new(), as_of),
-            (None, Feed::Routes) => self.steering.confirm_routes(now),
+            (Some(Update::Routes(table)), _) => self.steering.on_routes(now, as_of, table),
+            (None, Feed::Targets) => self.steering.on_changes(now, now, Vec::new(), as_of),
+            (None, Feed::Routes) => self.steering.confirm_routes(now, as_of),
         }
     }
 
+    fn publish_mark(&self) {
+        let known = self.steering.known();
+        let changed = self.steering.directory().changed();
+        self.mark.send_if_modified(|mark| {
+            let new = StateMark {
+                known,
+                changed,
+                ..*mark
+            };
+            std::mem::replace(mark, new) != new
+        });
+    }
+
     fn update_readiness(&self) {
         let ready = self.steering.can_place();
         let changed = self
@@ -180,22 +225,8 @@
         }
     }
 
-    fn answer_snapshot(&self, tx: TextRequest) {
-        let snapshot = PeerSnapshot::of(&self.steering, self.clock.now());
-        let text = snapshot.and_then(|s| match serde_json::to_vec(&s) {
-            Ok(text) => Some(text),
-            Err(e) => {
-                tracing::error!(error = %e, "cannot encode the snapshot");
-                None
-            }
-        });
-        // The asking connection may have closed meanwhile.
-        tx.send(text).unwrap_or_default();
-    }
-
-    fn answer_metrics(&self, tx: TextRequest) {
-        let text = format!("{:?}\n{:?}\n", self.steering.counters(), self.counters);
-        tx.send(Some(text.into_bytes())).unwrap_or_default();
+    fn metrics(&self) -> String {
+        format!("{:?}\n{:?}\n", self.steering.counters(), self.counters)
     }
 
     fn flush_log(&mut self, now: MonoTime) {
--- a/crates/zinniadrift-runtime/src/steering/edge_settings.rs
+++ b/crates/zinniadrift-runtime/src/steering/edge_settings.rs
@@ -4,7 +4,7 @@
 use zinniadrift_core::steering::{SteeringSettings, WatchSettings};
 
 /// Holds the settings of one balancer that steers by cookies.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct EdgeSettings {
     /// The balancer's name, for logs.
     pub name: Box<str>,
@@ -14,7 +14,7 @@
     pub readiness: SocketAddr,
     /// Where peers ask for what this balancer knows; `None` serves no peers.
     pub peer: Option<SocketAddr>,
-    /// The peers to ask when the store does not answer.
+    /// The peers that watch the store for all others.
     pub seeds: Vec<SocketAddr>,
     /// Where metrics are served; `None` serves none.
     pub metrics: Option<SocketAddr>,
@@ -25,3 +25,11 @@
     /// The pace of calls to the store.
     pub watch: WatchSettings,
 }
+
+impl EdgeSettings {
+    /// Tells whether both settings open the same sockets.
+    pub(super) fn same_sockets(&self, other: &Self) -> bool {
+        (self.packets, self.readiness, self.peer, self.metrics)
+            == (other.packets, other.readiness, other.peer, other.metrics)
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-runtime/src/steering/feed_task.rs
@@ -0,0 +1,115 @@
+use std::sync::Arc;
+
+use tokio::sync::{mpsc, watch};
+use tokio_util::sync::CancellationToken;
+
+use zinniadrift_core::steering::{CallFault, Revision, StoreStep, WatchLoop, WatchSettings};
+
+use super::input::{Input, StateMark};
+use super::{Border, Feed, FeedAnswer};
+use crate::daemon::RunClock;
+
+/// Follows one part of the store.
+pub(super) struct FeedTask<B> {
+    pub(super) border: watch::Receiver<Arc<B>>,
+    pub(super) feed: Feed,
+    pub(super) cfg: WatchSettings,
+    pub(super) clock: RunClock,
+    pub(super) inputs: mpsc::Sender<Input>,
+    /// What the driver knows from all sources.
+    pub(super) mark: watch::Receiver<StateMark>,
+    /// Whether no relay brings the news.
+    pub(super) needed: watch::Receiver<bool>,
+    pub(super) stop: CancellationToken,
+}
+
+impl<B: Border> FeedTask<B> {
+    /// Keeps the feed known until the process stops.
+    pub(super) async fn run(mut self) {
+        let mut watch_loop = WatchLoop::new(self.cfg.clone());
+        let mut failing = false;
+        let mut pauses = 0;
+        loop {
+            let now = self.clock.now();
+            let mark = *self.mark.borrow_and_update();
+            if mark.pauses != pauses {
+                pauses = mark.pauses;
+                watch_loop.restart(now);
+            }
+            let known = self.known_revision(mark);
+            let needed = *self.needed.borrow_and_update();
+            let step = watch_loop.next_step(now, needed, known);
+            let border = Arc::clone(&self.border.borrow());
+            let result = tokio::select! {
+                () = self.stop.cancelled() => return,
+                Ok(()) = self.needed.changed(), if step == StoreStep::Rest => continue,
+                () = paused(&mut self.mark, pauses) => continue,
+                result = perform(&*border, self.feed, self.clock, step) => result,
+            };
+            let Some(result) = result else { continue };
+            self.on_result(&mut watch_loop, &mut failing, result).await;
+        }
+    }
+
+    fn known_revision(&self, mark: StateMark) -> Revision {
+        match self.feed {
+            Feed::Targets => mark.known.targets,
+            Feed::Routes => mark.known.routes,
+        }
+    }
+
+    async fn on_result(
+        &self,
+        watch_loop: &mut WatchLoop,
+        failing: &mut bool,
+        result: Result<FeedAnswer, CallFault>,
+    ) {
+        let now = self.clock.now();
+        let feed = self.feed;
+        match result {
+            Ok(answer) => {
+                watch_loop.on_answer(now, answer.as_of, answer.update.is_some());
+                if std::mem::replace(failing, false) {
+                    tracing::info!(%feed, as_of = %answer.as_of, "store answers again");
+                }
+                // The driver is gone only when the process stops.
+                self.inputs
+                    .send(Input::Store(feed, answer))
+                    .await
+                    .unwrap_or_default();
+            }
+            Err(fault) => {
+                watch_loop.on_fault(now, fault);
+                if !std::mem::replace(failing, true) {
+                    tracing::warn!(%feed, cause = %fault, "store call failed");
+                }
+            }
+        }
+    }
+}
+
+/// Waits for a pause of the process that is not known yet.
+async fn paused(mark: &mut watch::Receiver<StateMark>, known: u64) {
+    if mark.wait_for(|m| m.pauses != known).await.is_err() {
+        // The driver has ended, and with it the process.
+        std::future::pending().await
+    }
+}
+
+/// Makes the call; `None` after a pause.
+async fn perform<B: Border>(
+    border: &B,
+    feed: Feed,
+    clock: RunClock,
+    step: StoreStep,
+) -> Option<Result<FeedAnswer, CallFault>> {
+    match step {
+        StoreStep::Rest => std::future::pending().await,
+        StoreStep::Pause(until) => {
+            tokio::time::sleep_until(clock.instant(until)).await;
+            None
+        }
+        StoreStep::List { stale } => Some(border.list(feed, stale).await),
+        StoreStep::Watch { from, wait } => Some(border.watch(feed, from, wait).await),
+    }
+}
--- a/crates/zinniadrift-runtime/src/steering/front.rs
+++ b/crates/zinniadrift-runtime/src/steering/front.rs
@@ -15,17 +15,19 @@
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
-/// Where peers find a balancer's knowledge.
-pub(super) const SNAPSHOT_PATH: &str = "/steering/snapshot";
+use super::input::Input;
+use super::peer_service::PeerService;
+
+/// The content types of the answers.
+pub(super) const JSON: &str = "application/json";
+const TEXT: &str = "text/plain; version=0.0.4";
+const METRICS_PATH: &str = "/metrics";
 
 /// The time for the head of a request; the callers are probes and peers nearby.
 const HEAD_LIMIT: Duration = Duration::from_secs(5);
 /// The open connections a listener; probes, peers and a collector need a few each.
 const MAX_CONNECTIONS: usize = 64;
 
-/// Asks the driver for a text about its state.
-pub(super) type TextRequest = oneshot::Sender<Option<Vec<u8>>>;
-
 /// Answers every request according to whether the balancer takes packets.
 pub(super) async fn serve_readiness(
     listener: TcpListener,
@@ -38,36 +40,43 @@
         } else {
             StatusCode::SERVICE_UNAVAILABLE
         };
-        std::future::ready(answer(status, "text/plain", Vec::new()))
+        std::future::ready(respond(status, TEXT, Vec::new()))
     })
     .await;
 }
 
-/// Answers requests for `path` with a text of the driver.
-pub(super) async fn serve_text(
+/// Answers requests for the metrics.
+pub(super) async fn serve_metrics(
     listener: TcpListener,
-    path: &'static str,
-    content_type: &'static str,
-    questions: mpsc::Sender<TextRequest>,
+    inputs: mpsc::Sender<Input>,
     stop: CancellationToken,
 ) {
     serve(listener, stop, move |req: Request<Incoming>| {
-        let questions = questions.clone();
+        let inputs = inputs.clone();
         async move {
-            if req.uri().path() != path {
-                return answer(StatusCode::NOT_FOUND, content_type, Vec::new());
+            if req.uri().path() != METRICS_PATH {
+                return respond(StatusCode::NOT_FOUND, TEXT, Vec::new());
             }
             let (tx, rx) = oneshot::channel();
-            let sent = questions.send(tx).await.is_ok();
+            let asked = inputs.send(Input::Metrics(tx)).await.is_ok();
             match rx.await {
-                Ok(Some(text)) if sent => answer(StatusCode::OK, content_type, text),
-                _ => answer(StatusCode::SERVICE_UNAVAILABLE, content_type, Vec::new()),
+                Ok(text) if asked => respond(StatusCode::OK, TEXT, text.into_bytes()),
+                _ => respond(StatusCode::SERVICE_UNAVAILABLE, TEXT, Vec::new()),
             }
         }
     })
     .await;
 }
 
+/// Answers the questions of peers.
+pub(super) async fn serve_peers(
+    listener: TcpListener,
+    service: PeerService,
+    stop: CancellationToken,
+) {
+    serve(listener, stop, move |req| service.clone().answer(req)).await;
+}
+
 /// Opens a listener.
 pub(super) async fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     TcpListener::bind(address).await
@@ -111,7 +120,11 @@
     connections.shutdown().await;
 }
 
-fn answer(status: StatusCode, content_type: &'static str, text: Vec<u8>) -> Response<Full<Bytes>> {
+pub(super) fn respond(
+    status: StatusCode,
+    content_type: &'static str,
+    text: Vec<u8>,
+) -> Response<Full<Bytes>> {
     let mut resp = Response::new(Full::new(text.into()));
     *resp.status_mut() = status;
     let value = header::HeaderValue::from_static(content_type);
--- a/crates/zinniadrift-runtime/src/steering/mod.rs
+++ b/crates/zinniadrift-runtime/src/steering/mod.rs
@@ -1,17 +1,19 @@
 //! Runs [`zinniadrift_core::steering`] with sockets, timers, the store and peers.
 
-mod answer_source;
 mod border;
 mod daemon;
+mod decision_log;
 mod driver;
 mod edge_settings;
-mod feed;
+mod feed_task;
 mod front;
-mod log;
-mod peer_client;
-mod peer_snapshot;
+mod held_datagrams;
+mod input;
+mod peer_service;
+mod peer_task;
+mod reload;
 
 pub use border::{Border, Feed, FeedAnswer, Update};
 pub use daemon::run_edge;
 pub use edge_settings::EdgeSettings;
-pub use peer_snapshot::PeerSnapshot;
+pub use reload::EdgeConfig;
--- /dev/null
+++ b/crates/zinniadrift-runtime/src/steering/peer_task.rs
@@ -0,0 +1,124 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use tokio::sync::{mpsc, watch};
+use tokio_util::sync::CancellationToken;
+
+use zinniadrift_core::steering::{PeerUpdate, RelayChoice};
+use zinniadrift_store::{HttpTransport, StoreError};
+
+use super::input::{Input, StateMark};
+use super::peer_service::{NEWS_PATH, PeerQuestion};
+
+/// How long a relay may wait for news; a relay that went silent is noticed after it.
+const NEWS_WAIT: Duration = Duration::from_millis(1_000);
+/// The time limit beyond the wait; relays answer within milliseconds, slowed ones within tenths.
+const ANSWER_LIMIT: Duration = Duration::from_millis(300);
+/// The pause after a relay did not answer.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+
+/// Asks relays for news.
+pub(super) struct PeerTask {
+    /// All relays; this balancer's own address is skipped.
+    pub(super) relays: watch::Receiver<Vec<SocketAddr>>,
+    pub(super) own: Option<SocketAddr>,
+    /// Spreads the balancers over the relays.
+    pub(super) first: usize,
+    pub(super) mark: watch::Receiver<StateMark>,
+    pub(super) inputs: mpsc::Sender<Input>,
+    /// Tells the feeds whether the balancer has to watch the store itself.
+    pub(super) needs_store: watch::Sender<bool>,
+    pub(super) stop: CancellationToken,
+}
+
+impl PeerTask {
+    /// Runs until the process stops.
+    pub(super) async fn run(mut self) {
+        let transport = HttpTransport::new();
+        loop {
+            let all = self.relays.borrow_and_update().clone();
+            let is_relay = self.own.is_some_and(|own| all.contains(&own));
+            let others = all.iter().copied().filter(|r| Some(*r) != self.own);
+            let others: Vec<SocketAddr> = others.collect();
+            let mut choice = RelayChoice::new(others.len(), self.first, is_relay);
+            self.needs_store.send_replace(choice.needs_store());
+            while !self.relays.has_changed().unwrap_or(true) {
+                let Some(position) = choice.relay() else {
+                    break;
+                };
+                tokio::select! {
+                    () = self.stop.cancelled() => return,
+                    () = self.ask_once(&transport, others[position], &mut choice) => {}
+                }
+            }
+            tokio::select! {
+                () = self.stop.cancelled() => return,
+                Ok(()) = self.relays.changed() => {}
+            }
+        }
+    }
+
+    async fn ask_once(
+        &self,
+        transport: &HttpTransport,
+        relay: SocketAddr,
+        choice: &mut RelayChoice,
+    ) {
+        let question = PeerQuestion {
+            known: self.mark.borrow().known,
+            wait_ms: u64::try_from(NEWS_WAIT.as_millis()).unwrap_or(u64::MAX),
+        };
+        let before = choice.needs_store();
+        let answer = ask(transport, relay, question).await;
+        let age = match &answer {
+            Ok(update) => {
+                let age = update.directory_age.max(update.routes_age);
+                choice.on_answer(age);
+                Some(age)
+            }
+            Err(e) => {
+                tracing::debug!(%relay, error = %e, "relay did not answer");
+                choice.on_fault();
+                None
+            }
+        };
+        let after = choice.needs_store();
+        if before != after {
+            let age_ms = age.and_then(|a| u64::try_from(a.as_millis()).ok());
+            tracing::info!(%relay, age_ms, watches_store = after, "source of news changed");
+            self.needs_store.send_replace(after);
+        }
+        match answer {
+            // The driver is gone only when the process stops.
+            Ok(update) => self
+                .inputs
+                .send(Input::Peer(Box::new(update)))
+                .await
+                .unwrap_or_default(),
+            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+        }
+    }
+}
+
+async fn ask(
+    transport: &HttpTransport,
+    relay: SocketAddr,
+    question: PeerQuestion,
+) -> Result<PeerUpdate, StoreError> {
+    let unreadable = |e: &dyn std::fmt::Display| StoreError::Unavailable {
+        reason: e.to_string().into(),
+    };
+    let body = serde_json::to_vec(&question).map_err(|e| unreadable(&e))?;
+    let uri = format!("http://{relay}{NEWS_PATH}");
+    let req = Request::post(uri).body(Full::new(body.into()));
+    let req = req.map_err(|e| unreadable(&e))?;
+    let (status, body) = transport.call(req, NEWS_WAIT + ANSWER_LIMIT).await?;
+    if status != StatusCode::OK {
+        return Err(StoreError::Refused {
+            status: status.as_u16(),
+        });
+    }
+    serde_json::from_slice(&body).map_err(|e| unreadable(&e))
+}
--- /dev/null
+++ b/crates/zinniadrift-runtime/src/steering/reload.rs
@@ -0,0 +1,90 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+use tokio_util::sync::CancellationToken;
+
+use super::input::Input;
+use super::{Border, EdgeSettings};
+use crate::daemon::DaemonError;
+
+/// How often the settings file is read; it may change without a signal.
+const READ_EVERY: Duration = Duration::from_secs(5);
+
+/// Is everything that the settings file decides.
+#[derive(Debug)]
+pub struct EdgeConfig<B> {
+    /// The border to the platform.
+    pub border: B,
+    /// The balancer's settings.
+    pub settings: EdgeSettings,
+}
+
+/// Reads the settings again on SIGHUP and from time to time.
+pub(super) struct ReloadTask<B, F> {
+    /// Reads and checks the settings file.
+    pub(super) load: F,
+    pub(super) border: watch::Sender<Arc<B>>,
+    pub(super) relays: watch::Sender<Vec<std::net::SocketAddr>>,
+    pub(super) inputs: mpsc::Sender<Input>,
+    pub(super) settings: EdgeSettings,
+    pub(super) stop: CancellationToken,
+}
+
+impl<B, F> ReloadTask<B, F>
+where
+    B: Border,
+    F: Fn() -> Result<EdgeConfig<B>, DaemonError>,
+{
+    /// Runs until the process stops.
+    pub(super) async fn run(mut self) {
+        let mut hangup = match signal(SignalKind::hangup()) {
+            Ok(hangup) => hangup,
+            Err(e) => {
+                tracing::error!(error = %e, "cannot listen for SIGHUP");
+                return;
+            }
+        };
+        let mut ticks = tokio::time::interval(READ_EVERY);
+        ticks.tick().await;
+        loop {
+            let asked = tokio::select! {
+                () = self.stop.cancelled() => return,
+                Some(()) = hangup.recv() => true,
+                _ = ticks.tick() => false,
+            };
+            self.reload(asked).await;
+        }
+    }
+
+    async fn reload(&mut self, asked: bool) {
+        let EdgeConfig { border, settings } = match (self.load)() {
+            Ok(config) => config,
+            Err(e) => {
+                tracing::error!(error = %e, "settings not read again; the old ones stay in force");
+                return;
+            }
+        };
+        if settings == self.settings {
+            if asked {
+                tracing::info!("settings read again; nothing changed");
+            }
+            return;
+        }
+        if !settings.same_sockets(&self.settings) {
+            tracing::warn!("changed listening addresses take effect at the next start");
+        }
+        tracing::info!(seeds = ?settings.seeds, "settings changed");
+        self.border.send_replace(Arc::new(border));
+        self.relays.send_if_modified(|relays| {
+            let changed = *relays != settings.seeds;
+            relays.clone_from(&settings.seeds);
+            changed
+        });
+        self.settings = settings.clone();
+        // The driver is gone only when the process stops.
+        let input = Input::Settings(Box::new(settings));
+        self.inputs.send(input).await.unwrap_or_default();
+    }
+}
