--- a/crates/zinniadrift-core/src/steering/flow_tracker.rs
+++ b/crates/zinniadrift-core/src/steering/flow_tracker.rs
@@ -3,6 +3,7 @@
 use hashbrown::HashMap;
 
 use crate::flow::FlowKey;
+use crate::ids::ServiceId;
 use crate::units::MonoTime;
 
 use super::directory::{Directory, TargetIndex};
@@ -16,8 +17,19 @@
 pub(crate) struct FlowTracker {
     flows: HashMap<FlowKey, TrackedFlow>,
     capacity: usize,
+    /// Times to answer since they were last taken.
+    times: Vec<(ServiceId, Duration)>,
 }
 
+/// The number of kept times; the driver takes them after every batch of packets.
+const TIMES_CAPACITY: usize = 1_024;
+
+/// The time after the last opening packet at which the caller has given the attempt up.
+const OPEN_LIFE: Duration = Duration::from_millis(1_500);
+/// The time without a packet after which a request is not at work any more: the longest work of a
+/// slowed target is below it, and the caller of a lost one has tried again.
+const REQUEST_LIFE: Duration = Duration::from_secs(5);
+
 /// Is what the end of a flow tells about its route.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct FlowSummary {
@@ -30,9 +42,14 @@
         Self {
             flows: HashMap::new(),
             capacity,
+            times: Vec::new(),
         }
     }
 
+    pub(crate) fn take_times(&mut self) -> impl Iterator<Item = (ServiceId, Duration)> + '_ {
+        self.times.drain(..)
+    }
+
     pub(crate) fn len(&self) -> usize {
         self.flows.len()
     }
@@ -68,7 +85,7 @@
         self.flows.insert(seg.flow, flow);
         if let Some(record) = dir.get_mut(target) {
             record.flows += 1;
-            record.busy += 1;
+            record.enter(FlowPhase::Opening);
         }
     }
 
@@ -97,7 +114,7 @@
         let Some(record) = dir.get_mut(target) else {
             return;
         };
-        let was_work = flow.phase.is_work();
+        let before = flow.phase;
         flow.seen = now;
         match flow.phase {
             FlowPhase::Opening => {
@@ -108,7 +125,11 @@
             }
             FlowPhase::Busy { since } if advances(flow.last_ack, seg.ack) => {
                 record.note_answer();
-                record.note_answer_time(now, now.since(since));
+                let took = now.since(since);
+                record.note_answer_time(now, took);
+                if self.times.len() < TIMES_CAPACITY {
+                    self.times.push((record.instance.service, took));
+                }
                 flow.last_ack = seg.ack;
                 flow.phase = FlowPhase::Idle;
             }
@@ -120,11 +141,8 @@
             flow.requests += 1;
         }
         flow.bytes = flow.bytes.saturating_add(seg.len.into());
-        match (was_work, flow.phase.is_work()) {
-            (false, true) => record.busy += 1,
-            (true, false) => record.busy = record.busy.saturating_sub(1),
-            _ => {}
-        }
+        record.leave(before);
+        record.enter(flow.phase);
     }
 
     /// Starts to observe a flow that was opened elsewhere; tells whether there was room.
@@ -175,9 +193,15 @@
     /// Stops observing flows without a packet for `idle`.
     pub(crate) fn sweep(&mut self, dir: &mut Directory, now: MonoTime, idle: Duration) {
         self.flows.retain(|_, flow| {
-            let keep = now.since(flow.seen) <= idle;
+            let silent = now.since(flow.seen);
+            let keep = silent <= idle && (flow.phase != FlowPhase::Opening || silent <= OPEN_LIFE);
             if !keep {
                 release(dir, flow);
+            } else if matches!(flow.phase, FlowPhase::Busy { .. }) && silent > REQUEST_LIFE {
+                if let Some(record) = dir.get_mut(flow.target) {
+                    record.leave(flow.phase);
+                }
+                flow.phase = FlowPhase::Idle;
             }
             keep
         });
@@ -201,9 +225,7 @@
         return;
     };
     record.flows = record.flows.saturating_sub(1);
-    if flow.phase.is_work() {
-        record.busy = record.busy.saturating_sub(1);
-    }
+    record.leave(flow.phase);
 }
 
 /// Tells whether `ack` is after `before`, with wrap-around.
--- a/crates/zinniadrift-core/src/steering/settings.rs
+++ b/crates/zinniadrift-core/src/steering/settings.rs
@@ -24,7 +24,9 @@
     pub suspect_for: Duration,
     /// The number of flows whose packets are observed for load estimates.
     pub tracked_flows: usize,
-    /// The number of requests beyond its slots after which a target counts as full.
+    /// The number of this balancer's requests that wait at a target before it counts as full.
+    ///
+    /// Targets queue a few more requests than they have slots; beyond eight they refuse.
     pub queue_limit: u32,
 }
 
--- a/crates/zinniadrift-core/src/steering/state_machine.rs
+++ b/crates/zinniadrift-core/src/steering/state_machine.rs
@@ -25,6 +25,15 @@
     SteeringSettings, TargetChange, TargetNews, Verdict,
 };
 
+/// Is the outcome of a choice for a new flow.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Placement {
+    At(TargetIndex),
+    /// Every target that could take the flow is at its limit.
+    Full,
+    NoTarget,
+}
+
 /// Decides which target each packet goes to.
 ///
 /// Open flows follow their cookie. New flows go to the target with the least expected wait. A flow
@@ -67,6 +76,8 @@
 /// How many times more long flows a target of the own zone carries before one of another zone gets
 /// a flow, unless all its slots are at work. Flows within a zone survive a cut between zones.
 const LONG_FLOW_REMOTENESS: f32 = 8.0;
+/// The last priority that counts as urgent; 0 is the highest.
+const LAST_URGENT_PRIORITY: u8 = 1;
 /// The number of decisions kept for the log between two calls of `take_decisions`.
 const DECISION_CAPACITY: usize = 256;
 
@@ -134,6 +145,11 @@
         self.decisions.drain(..)
     }
 
+    /// Takes the times from requests to answers since the last call, by service.
+    pub fn take_answer_times(&mut self) -> impl Iterator<Item = (ServiceId, Duration)> + '_ {
+        self.flows.take_times()
+    }
+
     /// Tells whether new flows can be placed: the routes and the targets are known.
     pub fn can_place(&self) -> bool {
         self.routes_known.since().is_some() && self.directory_known.since().is_some()
@@ -306,8 +322,10 @@
         };
         let unanswered = self.unanswered_target(now, seg, copies);
         let avoid = unanswered.and_then(|i| self.flows.get(&seg.flow).map(|f| (i, f.tried)));
-        let Some(index) = self.place(now, route, avoid) else {
-            return self.without_target(now, seg);
+        let index = match self.place(now, route, avoid) {
+            Placement::At(index) => index,
+            Placement::Full => return reset(seg, ResetReason::Overloaded),
+            Placement::NoTarget => return self.without_target(now, seg),
         };
         if unanswered.is_some_and(|i| i != index) {
             self.counters.moved += 1;
@@ -346,12 +364,16 @@
         now: MonoTime,
         route: &Route,
         avoid: Option<(TargetIndex, Option<TargetIndex>)>,
-    ) -> Option<TargetIndex> {
+    ) -> Placement {
         let profile = *self
             .profiles
             .entry(route.address)
             .or_insert_with(|| RouteProfile::expected(route));
-        let service = self.pick_service(route)?;
+        let Some(service) = self.pick_service(route) else {
+            return Placement::NoTarget;
+        };
+        let queue_limit = self.queue_limit(route);
+        let mut full = false;
         let (mut trusted, mut suspects, mut tried) = (Vec::new(), Vec::new(), Vec::new());
         let lapsed_count = self.count_lapsed(service);
         for &index in self.directory.of_service(service) {
@@ -362,6 +384,10 @@
             if !usable || !self.directory.owns_tag(index) {
                 continue;
             }
+            if record.busy >= u32::from(record.instance.slots) + queue_limit {
+                full = true;
+                continue;
+            }
             let candidate = self.candidate(now, index, record, &profile);
             let zone_avoided = self.zones.is_avoided(&record.instance.zone, now);
             if avoid.is_some_and(|(a, b)| a == index || b == Some(index)) {
@@ -372,9 +398,25 @@
                 trusted.push(candidate);
             }
         }
-        [trusted, suspects, tried]
+        let chosen = [trusted, suspects, tried]
             .iter()
-            .find_map(|candidates| pick_least(candidates, &mut self.rng))
+            .find_map(|candidates| pick_least(candidates, &mut self.rng));
+        match chosen {
+            Some(index) => Placement::At(index),
+            None if full => Placement::Full,
+            None => Placement::NoTarget,
+        }
+    }
+
+    /// Returns how many requests may wait at a target before it gets no new flow of `route`.
+    ///
+    /// Less urgent routes are refused first, so that a burst leaves room for urgent ones.
+    fn queue_limit(&self, route: &Route) -> u32 {
+        if route.priority <= LAST_URGENT_PRIORITY {
+            self.cfg.queue_limit
+        } else {
+            self.cfg.queue_limit * 3 / 4
+        }
     }
 
     /// Tells whether more of a service's targets have lapsed than are listed.
@@ -398,12 +440,12 @@
         record: &TargetRecord,
         profile: &RouteProfile,
     ) -> Candidate {
-        let busy = record.busy as f32;
+        let load = record.load() as f32;
         let flows = record.flows as f32;
         let load = if profile.has_long_flows() {
             flows
         } else {
-            busy + IDLE_FLOW_LOAD * flows
+            load + IDLE_FLOW_LOAD * flows
         };
         let cold = if now < record.warm_at {
             COLD_SLOWNESS
@@ -510,6 +552,9 @@
                 _ => reset(seg, ResetReason::TargetGone),
             };
         }
+        if self.directory.get(index).is_some_and(may_live) {
+            self.counters.forwarded_lapsed += 1;
+        }
         self.observe(now, seg, index);
         self.forward(seg, index)
     }
@@ -625,7 +670,7 @@
             target: record.instance.name.clone(),
             copies,
             instead_of: unanswered.and_then(name),
-            busy: record.busy,
+            busy: record.load(),
             directory: self.directory.as_of(),
             version: self.version(),
         };
--- a/crates/zinniadrift-core/src/steering/target_state.rs
+++ b/crates/zinniadrift-core/src/steering/target_state.rs
@@ -4,6 +4,7 @@
 
 use crate::units::MonoTime;
 
+use super::tracked_flow::FlowPhase;
 use super::{InstanceState, TargetInstance};
 
 /// Tells whether the store still lists a target.
@@ -33,6 +34,8 @@
     pub(crate) presence: Presence,
     /// When the instance stops being slow from its start.
     pub(crate) warm_at: MonoTime,
+    /// Opening packets of this balancer's flows that wait for an answer.
+    pub(crate) opening: u32,
     /// Requests of this balancer's flows that wait for an answer.
     pub(crate) busy: u32,
     /// Flows that this balancer has seen and that have not ended.
@@ -63,6 +66,7 @@
             instance,
             presence: Presence::Listed,
             warm_at,
+            opening: 0,
             busy: 0,
             flows: 0,
             unanswered: 0,
@@ -85,6 +89,29 @@
         self.presence = Presence::Listed;
     }
 
+    /// Counts a flow that entered `phase`.
+    pub(crate) fn enter(&mut self, phase: FlowPhase) {
+        match phase {
+            FlowPhase::Opening => self.opening += 1,
+            FlowPhase::Busy { .. } => self.busy += 1,
+            FlowPhase::Idle | FlowPhase::Closed => {}
+        }
+    }
+
+    /// Counts a flow that left `phase`.
+    pub(crate) fn leave(&mut self, phase: FlowPhase) {
+        match phase {
+            FlowPhase::Opening => self.opening = self.opening.saturating_sub(1),
+            FlowPhase::Busy { .. } => self.busy = self.busy.saturating_sub(1),
+            FlowPhase::Idle | FlowPhase::Closed => {}
+        }
+    }
+
+    /// Returns the work that this balancer has given to the target and that is not done.
+    pub(crate) fn load(&self) -> u32 {
+        self.opening + self.busy
+    }
+
     /// Tells whether the target may get new flows.
     pub(crate) fn is_open(&self) -> bool {
         self.presence == Presence::Listed && self.instance.state == InstanceState::Ready
--- a/crates/zinniadrift-core/src/steering/tracked_flow.rs
+++ b/crates/zinniadrift-core/src/steering/tracked_flow.rs
@@ -35,10 +35,3 @@
     /// An end has closed the flow.
     Closed,
 }
-
-impl FlowPhase {
-    /// Tells whether the flow occupies its target.
-    pub(crate) fn is_work(self) -> bool {
-        matches!(self, Self::Opening | Self::Busy { .. })
-    }
-}
--- a/crates/zinniadrift-runtime/src/metrics/metric.rs
+++ b/crates/zinniadrift-runtime/src/metrics/metric.rs
@@ -2,6 +2,8 @@
 
 use super::balancer_metrics::{BALANCER_GAUGES, CORE_COUNTERS, PACKET_COUNTERS};
 use super::gateway_metrics::{GATEWAY_COUNTERS, GATEWAY_GAUGES};
+use crate::steering::{DRIVER_COUNTERS, HISTOGRAMS, STATE_GAUGES, STEERING_COUNTERS};
+
 use super::reporter::{PEER_COUNTERS, TIMELINE_DROPPED};
 
 /// Starts every name; the daemon's role and name follow.
@@ -28,10 +30,12 @@
     Counter,
     /// Tells the current value.
     Gauge,
+    /// Counts observations in buckets.
+    Histogram,
 }
 
 impl Metric {
-    pub(super) const fn counter(
+    pub(crate) const fn counter(
         name: &'static str,
         unit: &'static str,
         meaning: &'static str,
@@ -44,7 +48,7 @@
         }
     }
 
-    pub(super) const fn gauge(
+    pub(crate) const fn gauge(
         name: &'static str,
         unit: &'static str,
         meaning: &'static str,
@@ -56,6 +60,27 @@
             meaning,
         }
     }
+
+    pub(crate) const fn histogram(
+        name: &'static str,
+        unit: &'static str,
+        meaning: &'static str,
+    ) -> Self {
+        Self {
+            name,
+            kind: MetricKind::Histogram,
+            unit,
+            meaning,
+        }
+    }
+}
+
+/// Returns every metric that a balancer that steers by cookies serves.
+pub fn edge_metrics() -> Vec<Metric> {
+    let core = STEERING_COUNTERS.iter().map(|(m, _)| *m);
+    let driver = DRIVER_COUNTERS.iter().map(|(m, _)| *m);
+    let gauges = STATE_GAUGES.iter().map(|(m, _)| *m);
+    core.chain(driver).chain(gauges).chain(HISTOGRAMS).collect()
 }
 
 /// Returns every metric that a daemon may send.
--- a/crates/zinniadrift-runtime/src/metrics/mod.rs
+++ b/crates/zinniadrift-runtime/src/metrics/mod.rs
@@ -9,5 +9,5 @@
 pub(crate) use balancer_metrics::report_balancer;
 pub use gateway_counters::GatewayCounters;
 pub(crate) use gateway_metrics::report_gateway;
-pub use metric::{METRIC_PREFIX, Metric, MetricKind, all_metrics};
+pub use metric::{METRIC_PREFIX, Metric, MetricKind, all_metrics, edge_metrics};
 pub(crate) use reporter::{REPORT_INTERVAL, Reporter};
--- a/crates/zinniadrift-runtime/src/steering/daemon.rs
+++ b/crates/zinniadrift-runtime/src/steering/daemon.rs
@@ -11,7 +11,9 @@
 use zinniadrift_core::steering::Steering;
 
 use super::decision_log::DecisionLog;
-use super::driver::{Driver, DriverCounters};
+use super::driver::Driver;
+use super::driver_counters::DriverCounters;
+use super::edge_metrics::EdgeHistograms;
 use super::feed_task::FeedTask;
 use super::front::{listen, serve_metrics, serve_peers, serve_readiness};
 use super::held_datagrams::HeldDatagrams;
@@ -48,6 +50,7 @@
     let (needs_store, needed) = watch::channel(true);
     let (ready, ready_rx) = watch::channel(false);
 
+    let histograms = EdgeHistograms::new();
     for feed in [Feed::Targets, Feed::Routes] {
         let task = FeedTask {
             border: border.clone(),
@@ -57,6 +60,7 @@
             inputs: inputs_tx.clone(),
             mark: mark_rx.clone(),
             needed: needed.clone(),
+            histograms: histograms.clone(),
             stop: stop.clone(),
         };
         tasks.spawn(task.run());
@@ -112,6 +116,7 @@
         stop_within: cfg.stop_within,
         log: DecisionLog::default(),
         counters: DriverCounters::default(),
+        histograms,
     };
     driver.run().await;
     drop(driver);
--- a/crates/zinniadrift-runtime/src/steering/decision_log.rs
+++ b/crates/zinniadrift-runtime/src/steering/decision_log.rs
@@ -9,6 +9,7 @@
     window: MonoTime,
     written: [u32; CLASSES],
     suppressed: [u64; CLASSES],
+    suppressed_total: u64,
 }
 
 const CLASSES: usize = 4;
@@ -27,12 +28,18 @@
         let class = class(decision);
         if self.written[class] >= LINES[class] {
             self.suppressed[class] += 1;
+            self.suppressed_total += 1;
             return;
         }
         self.written[class] += 1;
         write_line(decision);
     }
 
+    /// Returns the number of lines that were not written.
+    pub(super) const fn suppressed(&self) -> u64 {
+        self.suppressed_total
+    }
+
     fn begin_window(&mut self, now: MonoTime) {
         self.window = now;
         self.written = [0; CLASSES];
@@ -70,7 +77,7 @@
             version,
         } => tracing::info!(
             %flow,
-            %target,
+            chosen = %target,
             copies,
             instead_of = instead_of.as_deref(),
             busy,
@@ -110,7 +117,9 @@
             address,
             state,
             directory,
-        } => tracing::info!(%target, %service, %address, state, %directory, "target changed"),
+        } => {
+            tracing::info!(name = %target, %service, %address, state, %directory, "target changed")
+        }
         Decision::Configured { version, routes } => {
             tracing::info!(%version, routes, "configuration in force");
         }
--- a/crates/zinniadrift-runtime/src/steering/driver.rs
+++ b/crates/zinniadrift-runtime/src/steering/driver.rs
@@ -10,6 +10,8 @@
 use zinniadrift_core::units::MonoTime;
 
 use super::decision_log::DecisionLog;
+use super::driver_counters::DriverCounters;
+use super::edge_metrics::EdgeHistograms;
 use super::held_datagrams::HeldDatagrams;
 use super::input::{Input, StateMark};
 use super::{Border, Feed, FeedAnswer, Update};
@@ -36,15 +38,7 @@
     pub(super) stop_within: Duration,
     pub(super) log: DecisionLog,
     pub(super) counters: DriverCounters,
-}
-
-/// Counts what the driver itself does with datagrams.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct DriverCounters {
-    pub(super) received: u64,
-    pub(super) malformed: u64,
-    pub(super) send_failed: u64,
-    pub(super) pauses: u64,
+    pub(super) histograms: EdgeHistograms,
 }
 
 /// The time without packets after which a leaving balancer is out of rotation.
@@ -226,12 +220,25 @@
     }
 
     fn metrics(&self) -> String {
-        format!("{:?}\n{:?}\n", self.steering.counters(), self.counters)
+        let counters = DriverCounters {
+            held_too_long: self.held.dropped(),
+            lines_suppressed: self.log.suppressed(),
+            ..self.counters
+        };
+        let now = self.clock.now();
+        let text = self.histograms.render(&self.steering, &counters, now);
+        text.unwrap_or_else(|e| {
+            tracing::error!(error = %e, "cannot write the metrics");
+            String::new()
+        })
     }
 
     fn flush_log(&mut self, now: MonoTime) {
         for decision in self.steering.take_decisions() {
             self.log.write(now, &decision);
         }
+        for (service, took) in self.steering.take_answer_times() {
+            self.histograms.observe_answer(service, took);
+        }
     }
 }
--- /dev/null
+++ b/crates/zinniadrift-runtime/src/steering/driver_counters.rs
@@ -0,0 +1,10 @@
+/// Counts what the driver itself does with datagrams and log lines.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct DriverCounters {
+    pub(crate) received: u64,
+    pub(crate) malformed: u64,
+    pub(crate) send_failed: u64,
+    pub(crate) held_too_long: u64,
+    pub(crate) pauses: u64,
+    pub(crate) lines_suppressed: u64,
+}
--- /dev/null
+++ b/crates/zinniadrift-runtime/src/steering/edge_metrics.rs
@@ -0,0 +1,358 @@
+use std::fmt::Error;
+use std::time::Duration;
+
+use prometheus_client::collector::Collector;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::{DescriptorEncoder, EncodeLabelSet, EncodeMetric};
+use prometheus_client::metrics::counter::ConstCounter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::ConstGauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+use zinniadrift_core::ids::ServiceId;
+use zinniadrift_core::steering::{Steering, SteeringCounters};
+use zinniadrift_core::units::MonoTime;
+
+use super::Feed;
+use super::driver_counters::DriverCounters;
+use crate::metrics::Metric;
+
+/// Starts the name of every metric of this kind of balancer.
+pub const EDGE_METRIC_PREFIX: &str = "zinniadrift_edge";
+
+type CoreCounter = (Metric, fn(&SteeringCounters) -> u64);
+type DriverCounter = (Metric, fn(&DriverCounters) -> u64);
+type StateGauge = (Metric, fn(&Steering, MonoTime) -> i64);
+
+pub(crate) const STEERING_COUNTERS: [CoreCounter; 13] = [
+    (
+        Metric::counter(
+            "flows_opened",
+            "flows",
+            "opening packets forwarded for the first time",
+        ),
+        |c| c.opened,
+    ),
+    (
+        Metric::counter(
+            "flows_moved",
+            "packets",
+            "copies of opening packets that went to another target",
+        ),
+        |c| c.moved,
+    ),
+    (
+        Metric::counter(
+            "packets_forwarded",
+            "packets",
+            "packets of open flows forwarded",
+        ),
+        |c| c.forwarded,
+    ),
+    (
+        Metric::counter(
+            "packets_forwarded_lapsed",
+            "packets",
+            "packets forwarded to targets that are missing in the store",
+        ),
+        |c| c.forwarded_lapsed,
+    ),
+    (
+        Metric::counter(
+            "resets_no_route",
+            "flows",
+            "flows reset because no route leads on",
+        ),
+        |c| c.reset_no_route,
+    ),
+    (
+        Metric::counter(
+            "resets_no_target",
+            "flows",
+            "new flows refused because the service has no target",
+        ),
+        |c| c.reset_no_target,
+    ),
+    (
+        Metric::counter(
+            "resets_overloaded",
+            "flows",
+            "new flows refused because all targets are full",
+        ),
+        |c| c.reset_overloaded,
+    ),
+    (
+        Metric::counter(
+            "resets_target_gone",
+            "flows",
+            "flows reset because their target ended",
+        ),
+        |c| c.reset_target_gone,
+    ),
+    (
+        Metric::counter(
+            "resets_unknown_cookie",
+            "flows",
+            "flows reset because no target has their cookie",
+        ),
+        |c| c.reset_unknown_cookie,
+    ),
+    (
+        Metric::counter(
+            "drops_route_unknown",
+            "packets",
+            "packets dropped without a confirmed configuration",
+        ),
+        |c| c.dropped_route_unknown,
+    ),
+    (
+        Metric::counter(
+            "drops_directory_stale",
+            "packets",
+            "packets dropped without a confirmed directory",
+        ),
+        |c| c.dropped_directory_stale,
+    ),
+    (
+        Metric::counter(
+            "drops_no_cookie",
+            "packets",
+            "packets of open flows dropped without a cookie",
+        ),
+        |c| c.dropped_no_cookie,
+    ),
+    (
+        Metric::counter(
+            "drops_nothing_to_reset",
+            "packets",
+            "callers' resets dropped because no target is known",
+        ),
+        |c| c.dropped_nothing_to_reset,
+    ),
+];
+
+pub(crate) const DRIVER_COUNTERS: [DriverCounter; 6] = [
+    (
+        Metric::counter(
+            "datagrams_received",
+            "datagrams",
+            "datagrams read from the packet socket",
+        ),
+        |c| c.received,
+    ),
+    (
+        Metric::counter(
+            "datagrams_malformed",
+            "datagrams",
+            "datagrams that are no packet",
+        ),
+        |c| c.malformed,
+    ),
+    (
+        Metric::counter(
+            "datagrams_send_failed",
+            "datagrams",
+            "datagrams that could not be sent",
+        ),
+        |c| c.send_failed,
+    ),
+    (
+        Metric::counter(
+            "datagrams_held_too_long",
+            "datagrams",
+            "packets given up before routes and targets were known",
+        ),
+        |c| c.held_too_long,
+    ),
+    (
+        Metric::counter(
+            "process_pauses",
+            "pauses",
+            "times when the process stood still",
+        ),
+        |c| c.pauses,
+    ),
+    (
+        Metric::counter(
+            "log_lines_suppressed",
+            "lines",
+            "log lines beyond the budget of their class",
+        ),
+        |c| c.lines_suppressed,
+    ),
+];
+
+pub(crate) const STATE_GAUGES: [StateGauge; 7] = [
+    (
+        Metric::gauge("ready", "0 or 1", "whether routes and targets are known"),
+        |s, _| i64::from(s.can_place()),
+    ),
+    (
+        Metric::gauge(
+            "directory_age_ms",
+            "ms",
+            "time since the store confirmed the targets; -1 if never",
+        ),
+        |s, now| age(s.directory_known().age(now)),
+    ),
+    (
+        Metric::gauge(
+            "configuration_age_ms",
+            "ms",
+            "time since the store confirmed the configuration; -1 if never",
+        ),
+        |s, now| age(s.routes_known().age(now)),
+    ),
+    (
+        Metric::gauge(
+            "configuration_version",
+            "version",
+            "version of the configuration in force",
+        ),
+        |s, _| clamp(s.routes().version().get()),
+    ),
+    (
+        Metric::gauge("routes", "routes", "routes in force"),
+        |s, _| clamp(s.routes().len() as u64),
+    ),
+    (
+        Metric::gauge("targets_listed", "targets", "targets that the store lists"),
+        |s, _| clamp(s.directory().listed() as u64),
+    ),
+    (
+        Metric::gauge(
+            "flows_tracked",
+            "flows",
+            "flows observed for load estimates; bounded by tracked_flows (16384)",
+        ),
+        |s, _| clamp(s.tracked_flows() as u64),
+    ),
+];
+
+pub(crate) const HISTOGRAMS: [Metric; 2] = [
+    Metric::histogram(
+        "answer_seconds",
+        "s",
+        "time from a request's first packet to its answer, by service",
+    ),
+    Metric::histogram(
+        "store_call_seconds",
+        "s",
+        "time of calls to the store, by feed and result",
+    ),
+];
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ServiceLabel {
+    service: String,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct CallLabel {
+    feed: String,
+    result: String,
+}
+
+/// Collects times; clones share their content.
+#[derive(Clone, Debug)]
+pub(super) struct EdgeHistograms {
+    answers: Family<ServiceLabel, Histogram>,
+    calls: Family<CallLabel, Histogram>,
+}
+
+/// The smallest bucket is 1 ms, below the fastest call; the 14th is 8 s, beyond every deadline.
+const FIRST_BUCKET: f64 = 0.001;
+const BUCKETS: u16 = 14;
+
+fn histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET, 2.0, BUCKETS))
+}
+
+impl EdgeHistograms {
+    pub(super) fn new() -> Self {
+        Self {
+            answers: Family::new_with_constructor(histogram),
+            calls: Family::new_with_constructor(histogram),
+        }
+    }
+
+    pub(super) fn observe_answer(&self, service: ServiceId, took: Duration) {
+        let label = ServiceLabel {
+            service: service.to_string(),
+        };
+        self.answers
+            .get_or_create(&label)
+            .observe(took.as_secs_f64());
+    }
+
+    pub(super) fn observe_call(&self, feed: Feed, result: &str, took: Duration) {
+        let label = CallLabel {
+            feed: feed.to_string(),
+            result: result.to_owned(),
+        };
+        self.calls.get_or_create(&label).observe(took.as_secs_f64());
+    }
+
+    /// Returns all metrics as text.
+    pub(super) fn render(
+        &self,
+        steering: &Steering,
+        driver: &DriverCounters,
+        now: MonoTime,
+    ) -> Result<String, Error> {
+        let mut registry = Registry::with_prefix(EDGE_METRIC_PREFIX);
+        let [answers, calls] = HISTOGRAMS;
+        registry.register(answers.name, answers.meaning, self.answers.clone());
+        registry.register(calls.name, calls.meaning, self.calls.clone());
+        registry.register_collector(Box::new(Values::read(steering, driver, now)));
+        let mut text = String::new();
+        encode(&mut text, &registry)?;
+        Ok(text)
+    }
+}
+
+/// Holds the values of one moment.
+#[derive(Debug)]
+struct Values {
+    counters: Vec<(Metric, u64)>,
+    gauges: Vec<(Metric, i64)>,
+}
+
+impl Values {
+    fn read(steering: &Steering, driver: &DriverCounters, now: MonoTime) -> Self {
+        let core = STEERING_COUNTERS
+            .iter()
+            .map(|(m, f)| (*m, f(steering.counters())));
+        let own = DRIVER_COUNTERS.iter().map(|(m, f)| (*m, f(driver)));
+        let gauges = STATE_GAUGES.iter().map(|(m, f)| (*m, f(steering, now)));
+        Self {
+            counters: core.chain(own).collect(),
+            gauges: gauges.collect(),
+        }
+    }
+}
+
+impl Collector for Values {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), Error> {
+        for (metric, value) in &self.counters {
+            let value = ConstCounter::new(*value);
+            let kind = value.metric_type();
+            value.encode(encoder.encode_descriptor(metric.name, metric.meaning, None, kind)?)?;
+        }
+        for (metric, value) in &self.gauges {
+            let value = ConstGauge::new(*value);
+            let kind = value.metric_type();
+            value.encode(encoder.encode_descriptor(metric.name, metric.meaning, None, kind)?)?;
+        }
+        Ok(())
+    }
+}
+
+fn age(age: Option<Duration>) -> i64 {
+    age.map_or(-1, |a| i64::try_from(a.as_millis()).unwrap_or(i64::MAX))
+}
+
+fn clamp(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
--- a/crates/zinniadrift-runtime/src/steering/feed_task.rs
+++ b/crates/zinniadrift-runtime/src/steering/feed_task.rs
@@ -5,6 +5,7 @@
 
 use zinniadrift_core::steering::{CallFault, Revision, StoreStep, WatchLoop, WatchSettings};
 
+use super::edge_metrics::EdgeHistograms;
 use super::input::{Input, StateMark};
 use super::{Border, Feed, FeedAnswer};
 use crate::daemon::RunClock;
@@ -20,6 +21,7 @@
     pub(super) mark: watch::Receiver<StateMark>,
     /// Whether no relay brings the news.
     pub(super) needed: watch::Receiver<bool>,
+    pub(super) histograms: EdgeHistograms,
     pub(super) stop: CancellationToken,
 }
 
@@ -47,6 +49,13 @@
                 result = perform(&*border, self.feed, self.clock, step) => result,
             };
             let Some(result) = result else { continue };
+            let outcome = match &result {
+                Ok(answer) if answer.update.is_some() => "news".to_owned(),
+                Ok(_) => "nothing-new".to_owned(),
+                Err(fault) => fault.to_string(),
+            };
+            let took = self.clock.now().since(now);
+            self.histograms.observe_call(self.feed, &outcome, took);
             self.on_result(&mut watch_loop, &mut failing, result).await;
         }
     }
--- a/crates/zinniadrift-runtime/src/steering/mod.rs
+++ b/crates/zinniadrift-runtime/src/steering/mod.rs
@@ -4,6 +4,8 @@
 mod daemon;
 mod decision_log;
 mod driver;
+mod driver_counters;
+mod edge_metrics;
 mod edge_settings;
 mod feed_task;
 mod front;
@@ -15,5 +17,7 @@
 
 pub use border::{Border, Feed, FeedAnswer, Update};
 pub use daemon::run_edge;
+pub use edge_metrics::EDGE_METRIC_PREFIX;
+pub(crate) use edge_metrics::{DRIVER_COUNTERS, HISTOGRAMS, STATE_GAUGES, STEERING_COUNTERS};
 pub use edge_settings::EdgeSettings;
 pub use reload::EdgeConfig;
