--- a/crates/zinniadrift-core/src/steering/counters.rs
+++ b/crates/zinniadrift-core/src/steering/counters.rs
@@ -19,6 +19,8 @@
     pub reset_overloaded: u64,
     /// Resets of flows whose target has ended.
     pub reset_target_gone: u64,
+    /// Resets of flows whose target answers neither its callers nor a probe.
+    pub reset_target_silent: u64,
     /// Resets of packets whose cookie names no target.
     pub reset_unknown_cookie: u64,
     /// Packets dropped without a usable configuration.
@@ -39,6 +41,7 @@
             ResetReason::NoTarget => &mut self.reset_no_target,
             ResetReason::Overloaded => &mut self.reset_overloaded,
             ResetReason::TargetGone => &mut self.reset_target_gone,
+            ResetReason::TargetSilent => &mut self.reset_target_silent,
             ResetReason::UnknownCookie => &mut self.reset_unknown_cookie,
         }
     }
--- a/crates/zinniadrift-core/src/steering/decision.rs
+++ b/crates/zinniadrift-core/src/steering/decision.rs
@@ -5,7 +5,7 @@
 use crate::ids::ServiceId;
 use crate::units::Version;
 
-use super::{DropReason, ResetReason, Revision};
+use super::{DropReason, ProbeResult, ResetReason, Revision};
 
 /// Is a decision that an operator may want to see, with what decided it.
 #[derive(Clone, Debug, PartialEq)]
@@ -64,6 +64,15 @@
         /// The directory's revision.
         directory: Revision,
     },
+    /// A target was probed because callers repeated their packets.
+    Probed {
+        /// The target's name.
+        target: Box<str>,
+        /// How it answered.
+        result: ProbeResult,
+        /// Whether it counts as dead now.
+        dead: bool,
+    },
     /// A configuration came into force.
     Configured {
         /// Its version.
--- a/crates/zinniadrift-core/src/steering/directory.rs
+++ b/crates/zinniadrift-core/src/steering/directory.rs
@@ -241,6 +241,36 @@
         self.by_tag.get(&tag)?.first().copied()
     }
 
+    pub(crate) fn find_name(&self, name: &str) -> Option<TargetIndex> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Tells whether more than half of the service's listed targets would count as dead with
+    /// `index`.
+    pub(crate) fn is_mostly_dead_without(&self, index: TargetIndex) -> bool {
+        let Some(record) = self.get(index) else {
+            return false;
+        };
+        let others = self.of_service(record.instance.service).iter();
+        let others = others.filter(|i| **i != index).filter_map(|i| self.get(*i));
+        let (mut listed, mut dead) = (1, 1);
+        for other in others.filter(|r| r.presence == Presence::Listed) {
+            listed += 1;
+            dead += usize::from(other.liveness.is_dead());
+        }
+        dead * 2 > listed
+    }
+
+    /// Returns the listed targets that count as dead.
+    pub(crate) fn dead_targets(&self) -> Vec<TargetIndex> {
+        let listed = |r: &TargetRecord| r.presence == Presence::Listed;
+        let dead = self
+            .records
+            .iter()
+            .filter(|(_, r)| r.liveness.is_dead() && listed(r));
+        dead.map(|(index, _)| *index).collect()
+    }
+
     /// Tells whether the target owns its tag, so that its cookie names no other target.
     pub(crate) fn owns_tag(&self, index: TargetIndex) -> bool {
         let record = self.get(index);
--- a/crates/zinniadrift-core/src/steering/flow_tracker.rs
+++ b/crates/zinniadrift-core/src/steering/flow_tracker.rs
@@ -78,6 +78,7 @@
             tried,
             phase: FlowPhase::Opening,
             last_ack: 0,
+            next_seq: seg.seq,
             seen: now,
             requests: 0,
             bytes: 0,
@@ -89,14 +90,14 @@
         }
     }
 
-    /// Records a packet of an open flow that goes to `target`.
+    /// Records a packet of an open flow that goes to `target`; tells whether it shows an answer.
     pub(crate) fn pass(
         &mut self,
         dir: &mut Directory,
         now: MonoTime,
         seg: &Segment,
         target: TargetIndex,
-    ) {
+    ) -> bool {
         if self
             .flows
             .get(&seg.flow)
@@ -106,25 +107,28 @@
             self.end(dir, &seg.flow);
         }
         if !self.flows.contains_key(&seg.flow) && !self.adopt(dir, now, seg, target) {
-            return;
+            return false;
         }
         let Some(flow) = self.flows.get_mut(&seg.flow) else {
-            return;
+            return false;
         };
         let Some(record) = dir.get_mut(target) else {
-            return;
+            return false;
         };
         let before = flow.phase;
+        let mut answered = false;
         flow.seen = now;
         match flow.phase {
             FlowPhase::Opening => {
                 record.note_answer();
+                answered = true;
                 flow.last_ack = seg.ack;
                 // A caller that opened a flow for a request sends it at once.
                 flow.phase = FlowPhase::Idle;
             }
             FlowPhase::Busy { since } if advances(flow.last_ack, seg.ack) => {
                 record.note_answer();
+                answered = true;
                 let took = now.since(since);
                 record.note_answer_time(now, took);
                 if self.times.len() < TIMES_CAPACITY {
@@ -136,13 +140,24 @@
             FlowPhase::Busy { .. } | FlowPhase::Closed => {}
             FlowPhase::Idle => flow.last_ack = seg.ack,
         }
-        if seg.len > 0 && flow.phase == FlowPhase::Idle {
-            flow.phase = FlowPhase::Busy { since: now };
-            flow.requests += 1;
+        if seg.len > 0 {
+            let is_repeat = !advances(flow.next_seq, seg.end());
+            match flow.phase {
+                FlowPhase::Idle => {
+                    flow.phase = FlowPhase::Busy { since: now };
+                    flow.requests += 1;
+                }
+                FlowPhase::Busy { .. } if is_repeat => record.liveness.note_repeat(),
+                _ => {}
+            }
+            if !is_repeat {
+                flow.next_seq = seg.end();
+            }
         }
         flow.bytes = flow.bytes.saturating_add(seg.len.into());
         record.leave(before);
         record.enter(flow.phase);
+        answered
     }
 
     /// Starts to observe a flow that was opened elsewhere; tells whether there was room.
@@ -161,6 +176,7 @@
             tried: None,
             phase: FlowPhase::Idle,
             last_ack: seg.ack,
+            next_seq: seg.seq,
             seen: now,
             requests: 0,
             bytes: 0,
@@ -190,6 +206,23 @@
         Some(flow.summary())
     }
 
+    /// Closes the flows with a request at `target` and returns them with their last acknowledgement.
+    pub(crate) fn abandon(
+        &mut self,
+        dir: &mut Directory,
+        target: TargetIndex,
+    ) -> Vec<(FlowKey, u32)> {
+        let mut abandoned = Vec::new();
+        for (key, flow) in &mut self.flows {
+            if flow.target == target && matches!(flow.phase, FlowPhase::Busy { .. }) {
+                release(dir, flow);
+                flow.phase = FlowPhase::Closed;
+                abandoned.push((*key, flow.last_ack));
+            }
+        }
+        abandoned
+    }
+
     /// Stops observing flows without a packet for `idle`.
     pub(crate) fn sweep(&mut self, dir: &mut Directory, now: MonoTime, idle: Duration) {
         self.flows.retain(|_, flow| {
--- a/crates/zinniadrift-core/src/steering/knowledge.rs
+++ b/crates/zinniadrift-core/src/steering/knowledge.rs
@@ -55,6 +55,11 @@
         self.confirmed = self.confirmed.max(Some(at));
     }
 
+    /// Records a state that may be seconds old: it is known, but no ground for refusals.
+    pub fn learn(&mut self, at: MonoTime) {
+        self.since.get_or_insert(at);
+    }
+
     /// Forgets the confirmation, as after a pause of the process.
     pub fn doubt(&mut self) {
         self.confirmed = None;
--- /dev/null
+++ b/crates/zinniadrift-core/src/steering/liveness.rs
@@ -0,0 +1,77 @@
+use std::time::Duration;
+
+use derive_more::Display;
+
+use crate::units::MonoTime;
+
+/// Judges from callers' packets and probes whether a target still answers.
+///
+/// Callers repeat what a dead target does not answer, long before its entry lapses in the store.
+/// Repeats alone are weak evidence, since slow work looks the same. They cause a probe; only a probe
+/// that fails too makes a target count as dead.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Liveness {
+    /// Repeats of requests and openings since the last sign of life.
+    repeats: u32,
+    next_probe: MonoTime,
+    is_dead: bool,
+}
+
+/// Tells how a target answered a probe.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq)]
+#[display(rename_all = "kebab-case")]
+pub enum ProbeResult {
+    /// It accepted a connection.
+    Accepted,
+    /// Its host refused the connection: nothing listens there.
+    Refused,
+    /// There was no answer in time.
+    Silent,
+    /// The probe could not be made.
+    NotMade,
+}
+
+/// The number of repeats that cause a probe: two flows with one, or one flow with two.
+const REPEATS: u32 = 2;
+/// The pause between two probes of one target.
+const PROBE_PAUSE: Duration = Duration::from_secs(1);
+
+impl Liveness {
+    /// Records that a caller repeated something that the target has not answered.
+    pub(crate) fn note_repeat(&mut self) {
+        self.repeats = self.repeats.saturating_add(1);
+    }
+
+    /// Records a sign of life.
+    pub(crate) fn note_answer(&mut self) {
+        self.repeats = 0;
+        self.is_dead = false;
+    }
+
+    /// Tells whether to probe now; a dead target is probed again until it answers.
+    pub(crate) fn wants_probe(&mut self, now: MonoTime) -> bool {
+        let wanted = (self.repeats >= REPEATS || self.is_dead) && now >= self.next_probe;
+        if wanted {
+            self.next_probe = now + PROBE_PAUSE;
+        }
+        wanted
+    }
+
+    /// Takes the result of a probe; tells whether the target counts as dead from now on.
+    pub(crate) fn on_probe(&mut self, result: ProbeResult) -> bool {
+        match result {
+            ProbeResult::Accepted => self.note_answer(),
+            ProbeResult::Refused | ProbeResult::Silent if self.repeats >= REPEATS => {
+                let was_dead = std::mem::replace(&mut self.is_dead, true);
+                return !was_dead;
+            }
+            ProbeResult::Refused | ProbeResult::Silent | ProbeResult::NotMade => {}
+        }
+        false
+    }
+
+    /// Tells whether the target counts as dead.
+    pub(crate) const fn is_dead(&self) -> bool {
+        self.is_dead
+    }
+}
--- a/crates/zinniadrift-core/src/steering/relay_choice.rs
+++ b/crates/zinniadrift-core/src/steering/relay_choice.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use super::StoreNeed;
+
 /// Decides which peer a balancer asks for news, and whether that is enough.
 ///
 /// A few balancers, the relays, watch the store; all others ask a relay, so that the calls to the
@@ -50,7 +52,11 @@
     }
 
     /// Tells whether the balancer has to watch the store itself.
-    pub const fn needs_store(&self) -> bool {
-        self.is_relay || !self.current
+    pub const fn store_need(&self) -> StoreNeed {
+        match (self.is_relay, self.current) {
+            (true, _) => StoreNeed::Relay,
+            (false, true) => StoreNeed::None,
+            (false, false) => StoreNeed::NoRelay,
+        }
     }
 }
--- a/crates/zinniadrift-core/src/steering/segment.rs
+++ b/crates/zinniadrift-core/src/steering/segment.rs
@@ -19,6 +19,13 @@
     pub len: u16,
 }
 
+impl Segment {
+    /// Returns the sequence number after the data.
+    pub const fn end(&self) -> u32 {
+        self.seq.wrapping_add(self.len as u32)
+    }
+}
+
 /// Tells what a packet does to its flow.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum SegmentKind {
--- a/crates/zinniadrift-core/src/steering/settings.rs
+++ b/crates/zinniadrift-core/src/steering/settings.rs
@@ -51,6 +51,8 @@
     pub watch_wait: Duration,
     /// The pause after a change, so that one call collects changes that come close together.
     pub gather: Duration,
+    /// How long a newcomer waits for a relay before it watches the store itself.
+    pub relay_patience: Duration,
     /// The first pause after a failed call; doubled up to `retry_max`.
     pub retry_min: Duration,
     /// The longest pause after failed calls.
@@ -62,6 +64,7 @@
         Self {
             watch_wait: Duration::from_secs(4),
             gather: Duration::from_millis(400),
+            relay_patience: Duration::from_millis(300),
             retry_min: Duration::from_millis(100),
             retry_max: Duration::from_secs(1),
         }
--- a/crates/zinniadrift-core/src/steering/state_machine.rs
+++ b/crates/zinniadrift-core/src/steering/state_machine.rs
@@ -6,6 +6,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 
+use crate::flow::FlowKey;
 use crate::ids::ServiceId;
 use crate::units::{MonoTime, Version};
 
@@ -21,10 +22,28 @@
 use super::zone_health::ZoneHealth;
 use super::{
     Cookie, Decision, Directory, DirectoryListing, DropReason, Knowledge, KnownState, PeerUpdate,
-    ResetReason, Revision, Route, RouteTable, Segment, SegmentKind, SteeringCounters,
+    ProbeResult, ResetReason, Revision, Route, RouteTable, Segment, SegmentKind, SteeringCounters,
     SteeringSettings, TargetChange, TargetNews, Verdict,
 };
 
+/// Asks for a probe of a target.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TargetProbe {
+    /// The target's name.
+    pub name: Box<str>,
+    /// Where to connect to.
+    pub address: SocketAddrV4,
+}
+
+/// Is a flow to reset because its target is dead.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AbandonedFlow {
+    /// The flow.
+    pub flow: FlowKey,
+    /// A sequence number that the caller accepts.
+    pub seq: u32,
+}
+
 /// Is the outcome of a choice for a new flow.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Placement {
@@ -56,6 +75,9 @@
     /// Median time to answer of each service in microseconds.
     medians: HashMap<ServiceId, f32>,
     next_sweep: MonoTime,
+    /// When any target last showed a sign of life to this balancer.
+    last_answer: MonoTime,
+    probes: Vec<TargetProbe>,
     counters: SteeringCounters,
     decisions: Vec<Decision>,
 }
@@ -78,6 +100,12 @@
 const LONG_FLOW_REMOTENESS: f32 = 8.0;
 /// The last priority that counts as urgent; 0 is the highest.
 const LAST_URGENT_PRIORITY: u8 = 1;
+/// The time without an answer from any target after which the balancer itself may be cut off.
+///
+/// On the smallest site a balancer sees an answer every 20 ms.
+const CUT_OFF_AFTER: Duration = Duration::from_millis(500);
+/// The number of probes that wait to be made.
+const PROBE_CAPACITY: usize = 16;
 /// The number of decisions kept for the log between two calls of `take_decisions`.
 const DECISION_CAPACITY: usize = 256;
 
@@ -100,6 +128,8 @@
             unknown_routes: Unexplained::new(),
             medians: HashMap::new(),
             next_sweep: MonoTime::default(),
+            last_answer: MonoTime::default(),
+            probes: Vec::new(),
             counters: SteeringCounters::default(),
             decisions: Vec::new(),
         }
@@ -156,11 +186,21 @@
     }
 
     /// Takes a full list of the targets that was true at `confirmed`.
-    pub fn on_listing(&mut self, now: MonoTime, confirmed: MonoTime, listing: DirectoryListing) {
+    ///
+    /// Without that time the list may be seconds old; it is used, but no ground for refusals.
+    pub fn on_listing(
+        &mut self,
+        now: MonoTime,
+        confirmed: Option<MonoTime>,
+        listing: DirectoryListing,
+    ) {
         let Some(news) = self.directory.replace(listing, now) else {
             return;
         };
-        self.directory_known.confirm(confirmed);
+        match confirmed {
+            Some(at) => self.directory_known.confirm(at),
+            None => self.directory_known.learn(now),
+        }
         self.note_changes(&news);
     }
 
@@ -184,7 +224,7 @@
     pub fn on_peer_update(&mut self, now: MonoTime, update: PeerUpdate) {
         let directory_at = now - update.directory_age;
         match update.targets {
-            TargetNews::All(listing) => self.on_listing(now, directory_at, listing),
+            TargetNews::All(listing) => self.on_listing(now, Some(directory_at), listing),
             TargetNews::Changes(changes) => {
                 self.on_changes(now, directory_at, changes, update.known.targets);
             }
@@ -192,7 +232,9 @@
         let routes_at = now - update.routes_age;
         let routes = Arc::clone(&self.routes);
         match update.routes.and_then(|delta| delta.apply(&routes)) {
-            Some(table) => self.on_routes(routes_at, update.known.routes, Arc::new(table)),
+            Some(table) => {
+                self.on_routes(now, Some(routes_at), update.known.routes, Arc::new(table));
+            }
             None if update.known.version == routes.version() => {
                 self.confirm_routes(routes_at, update.known.routes);
             }
@@ -265,15 +307,27 @@
     /// Takes the configuration of the store's revision `as_of`, the newest at `confirmed`.
     ///
     /// A lower version than the one in force is ignored.
-    pub fn on_routes(&mut self, confirmed: MonoTime, as_of: Revision, table: Arc<RouteTable>) {
+    pub fn on_routes(
+        &mut self,
+        now: MonoTime,
+        confirmed: Option<MonoTime>,
+        as_of: Revision,
+        table: Arc<RouteTable>,
+    ) {
         if table.version() < self.routes.version() {
             return;
         }
-        let is_new = table.version() > self.routes.version();
-        if !is_new {
-            self.confirm_routes(confirmed, as_of);
-            return;
+        if table.version() > self.routes.version() {
+            self.put_in_force(table);
         }
+        self.routes_known.learn(now);
+        match confirmed {
+            Some(at) => self.confirm_routes(at, as_of),
+            None => self.routes_as_of = self.routes_as_of.max(as_of),
+        }
+    }
+
+    fn put_in_force(&mut self, table: Arc<RouteTable>) {
         self.note(Decision::Configured {
             version: table.version(),
             routes: table.len(),
@@ -282,7 +336,6 @@
             .retain(|address, _| table.get(*address).is_some());
         self.route_history.push(Arc::clone(&table));
         self.routes = table;
-        self.confirm_routes(confirmed, as_of);
     }
 
     /// Records that the configuration in force is the newest up to `as_of`.
@@ -353,6 +406,7 @@
         let record = self.directory.get_mut(index)?;
         record.note_silence(now, self.cfg.suspect_for);
         let zone = record.instance.zone.clone();
+        self.ask_for_probe(now, index);
         if zone != self.cfg.zone {
             self.zones.note_silence(&zone, index, now);
         }
@@ -373,7 +427,6 @@
             return Placement::NoTarget;
         };
         let queue_limit = self.queue_limit(route);
-        let mut full = false;
         let (mut trusted, mut suspects, mut tried) = (Vec::new(), Vec::new(), Vec::new());
         let lapsed_count = self.count_lapsed(service);
         for &index in self.directory.of_service(service) {
@@ -384,28 +437,28 @@
             if !usable || !self.directory.owns_tag(index) {
                 continue;
             }
-            if record.busy >= u32::from(record.instance.slots) + queue_limit {
-                full = true;
-                continue;
-            }
-            let candidate = self.candidate(now, index, record, &profile);
+            let is_full = record.busy >= u32::from(record.instance.slots) + queue_limit;
             let zone_avoided = self.zones.is_avoided(&record.instance.zone, now);
-            if avoid.is_some_and(|(a, b)| a == index || b == Some(index)) {
-                tried.push(candidate);
+            let was_tried = avoid.is_some_and(|(a, b)| a == index || b == Some(index));
+            let group = if was_tried {
+                &mut tried
             } else if zone_avoided || record.is_suspect(now) {
-                suspects.push(candidate);
+                &mut suspects
             } else {
-                trusted.push(candidate);
-            }
-        }
-        let chosen = [trusted, suspects, tried]
-            .iter()
-            .find_map(|candidates| pick_least(candidates, &mut self.rng));
-        match chosen {
-            Some(index) => Placement::At(index),
-            None if full => Placement::Full,
-            None => Placement::NoTarget,
+                &mut trusted
+            };
+            group.push((is_full, self.candidate(now, index, record, &profile)));
         }
+        // A silent target is no way out while those that answer are full.
+        let group = [trusted, suspects, tried]
+            .into_iter()
+            .find(|g| !g.is_empty());
+        let Some(group) = group else {
+            return Placement::NoTarget;
+        };
+        let with_room = group.iter().filter(|(is_full, _)| !is_full);
+        let with_room: Vec<Candidate> = with_room.map(|(_, c)| *c).collect();
+        pick_least(&with_room, &mut self.rng).map_or(Placement::Full, Placement::At)
     }
 
     /// Returns how many requests may wait at a target before it gets no new flow of `route`.
@@ -541,15 +594,11 @@
         let Some(index) = self.directory.find(tag) else {
             return self.unknown_cookie(now, seg, tag);
         };
-        let gone = self
-            .directory
-            .get(index)
-            .is_some_and(|r| matches!(r.presence, Presence::Gone { .. }));
-        if gone {
+        if let Some(reason) = self.directory.get(index).and_then(end_of) {
             self.end_flow(seg);
             return match seg.kind {
                 SegmentKind::Reset => Verdict::Drop(DropReason::NothingToReset),
-                _ => reset(seg, ResetReason::TargetGone),
+                _ => reset(seg, reason),
             };
         }
         if self.directory.get(index).is_some_and(may_live) {
@@ -582,16 +631,84 @@
         match seg.kind {
             SegmentKind::Close | SegmentKind::Reset => self.end_flow(seg),
             _ => {
-                self.flows.pass(&mut self.directory, now, seg, index);
-                if let Some(record) = self.directory.get(index)
-                    && record.instance.zone != self.cfg.zone
-                {
-                    self.zones.note_answer(&record.instance.zone);
+                let answered = self.flows.pass(&mut self.directory, now, seg, index);
+                if answered {
+                    self.note_answer(now, index);
+                } else {
+                    self.ask_for_probe(now, index);
                 }
             }
         }
     }
 
+    fn note_answer(&mut self, now: MonoTime, index: TargetIndex) {
+        self.last_answer = now;
+        if let Some(record) = self.directory.get(index)
+            && record.instance.zone != self.cfg.zone
+        {
+            self.zones.note_answer(&record.instance.zone);
+        }
+    }
+
+    /// Asks for a probe of a target whose callers repeat their packets.
+    fn ask_for_probe(&mut self, now: MonoTime, index: TargetIndex) {
+        let Some(record) = self.directory.get_mut(index) else {
+            return;
+        };
+        if record.liveness.wants_probe(now) && self.probes.len() < PROBE_CAPACITY {
+            self.probes.push(TargetProbe {
+                name: record.instance.name.clone(),
+                address: record.instance.address,
+            });
+        }
+    }
+
+    /// Takes the probes to make.
+    pub fn take_probes(&mut self) -> impl Iterator<Item = TargetProbe> + '_ {
+        self.probes.drain(..)
+    }
+
+    /// Takes the result of a probe and returns the flows to reset.
+    ///
+    /// A probe that fails while this balancer hears from no target at all says nothing about the
+    /// target: the balancer itself may be cut off. Nor do probes that fail for most targets of a
+    /// service: then it is rather the probes that cannot get through.
+    pub fn on_probe(
+        &mut self,
+        now: MonoTime,
+        name: &str,
+        result: ProbeResult,
+    ) -> Vec<AbandonedFlow> {
+        let Some(index) = self.directory.find_name(name) else {
+            return Vec::new();
+        };
+        let cut_off = now.since(self.last_answer) > CUT_OFF_AFTER;
+        let doubtful = cut_off || self.directory.is_mostly_dead_without(index);
+        let result = match result {
+            ProbeResult::Refused | ProbeResult::Silent if doubtful => ProbeResult::NotMade,
+            other => other,
+        };
+        let Some(record) = self.directory.get_mut(index) else {
+            return Vec::new();
+        };
+        let died = record.liveness.on_probe(result);
+        let dead = record.liveness.is_dead();
+        self.note(Decision::Probed {
+            target: name.into(),
+            result,
+            dead,
+        });
+        if !died {
+            return Vec::new();
+        }
+        let abandoned = self.flows.abandon(&mut self.directory, index);
+        self.counters.reset_target_silent += abandoned.len() as u64;
+        let abandoned = abandoned.into_iter();
+        abandoned
+            .map(|(flow, seq)| AbandonedFlow { flow, seq })
+            .collect()
+    }
+
     fn end_flow(&mut self, seg: &Segment) {
         let ended = self.flows.close(&mut self.directory, &seg.flow);
         let profile = self.profiles.get_mut(&seg.flow.service);
@@ -638,6 +755,9 @@
         self.unknown_routes
             .retain(|address, at| routes.get(*address).is_none() && now.since(at) < memory);
         self.update_medians(now);
+        for index in self.directory.dead_targets() {
+            self.ask_for_probe(now, index);
+        }
     }
 
     fn update_medians(&mut self, now: MonoTime) {
@@ -726,6 +846,17 @@
     }
 }
 
+/// Returns why flows of the target end, if they do.
+fn end_of(record: &TargetRecord) -> Option<ResetReason> {
+    if matches!(record.presence, Presence::Gone { .. }) {
+        return Some(ResetReason::TargetGone);
+    }
+    record
+        .liveness
+        .is_dead()
+        .then_some(ResetReason::TargetSilent)
+}
+
 fn may_live(record: &TargetRecord) -> bool {
     matches!(record.presence, Presence::Lapsed { .. })
 }
--- a/crates/zinniadrift-core/src/steering/target_state.rs
+++ b/crates/zinniadrift-core/src/steering/target_state.rs
@@ -4,6 +4,7 @@
 
 use crate::units::MonoTime;
 
+use super::liveness::Liveness;
 use super::tracked_flow::FlowPhase;
 use super::{InstanceState, TargetInstance};
 
@@ -48,6 +49,7 @@
     answer_us: f32,
     samples: u32,
     last_sample: MonoTime,
+    pub(crate) liveness: Liveness,
 }
 
 /// The weight of a new sample in the smoothed time to answer: about the last eight count.
@@ -74,6 +76,7 @@
             answer_us: 0.0,
             samples: 0,
             last_sample: MonoTime::default(),
+            liveness: Liveness::default(),
         }
     }
 
@@ -119,13 +122,14 @@
 
     /// Tells whether the target is avoided because it left opening packets unanswered.
     pub(crate) fn is_suspect(&self, now: MonoTime) -> bool {
-        now < self.suspect_until
+        now < self.suspect_until || self.liveness.is_dead()
     }
 
     /// Records an opening packet that was not answered in time.
     pub(crate) fn note_silence(&mut self, now: MonoTime, base: Duration) {
         let doublings = self.unanswered.min(MAX_SUSPECT_DOUBLINGS);
         self.unanswered += 1;
+        self.liveness.note_repeat();
         self.suspect_until = now + base * (1 << doublings);
     }
 
@@ -133,6 +137,7 @@
     pub(crate) fn note_answer(&mut self) {
         self.unanswered = 0;
         self.suspect_until = MonoTime::default();
+        self.liveness.note_answer();
     }
 
     /// Adds one observed time from a request to its answer.
--- a/crates/zinniadrift-core/src/steering/tracked_flow.rs
+++ b/crates/zinniadrift-core/src/steering/tracked_flow.rs
@@ -12,6 +12,8 @@
     pub(crate) phase: FlowPhase,
     /// The caller's last acknowledgement.
     pub(crate) last_ack: u32,
+    /// The sequence number after the last data that the caller sent.
+    pub(crate) next_seq: u32,
     /// The last packet's time.
     pub(crate) seen: MonoTime,
     /// The number of requests so far.
--- a/crates/zinniadrift-core/src/steering/verdict.rs
+++ b/crates/zinniadrift-core/src/steering/verdict.rs
@@ -39,6 +39,8 @@
     Overloaded,
     /// The flow's target has ended.
     TargetGone,
+    /// The flow's target answers neither its callers nor a probe.
+    TargetSilent,
     /// No target that exists has the packet's cookie.
     UnknownCookie,
 }
--- a/crates/zinniadrift-core/src/steering/watch_loop.rs
+++ b/crates/zinniadrift-core/src/steering/watch_loop.rs
@@ -6,6 +6,18 @@
 
 use super::{Revision, WatchSettings};
 
+/// Tells why a balancer calls the store.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum StoreNeed {
+    /// It is a relay, whose news others wait for.
+    Relay,
+    /// No relay is current.
+    #[default]
+    NoRelay,
+    /// A relay brings the news.
+    None,
+}
+
 /// Decides which call keeps one kind of the store's objects known.
 ///
 /// It lists once and then watches; every failure keeps what is known.
@@ -14,6 +26,8 @@
     cfg: WatchSettings,
     position: Option<Revision>,
     listed: bool,
+    /// Whether an answer was current, so that it may be a ground for refusals.
+    confirmed: bool,
     failures: u32,
     not_before: MonoTime,
 }
@@ -39,6 +53,13 @@
     },
 }
 
+impl StoreStep {
+    /// Tells whether the step calls the store.
+    pub const fn is_call(&self) -> bool {
+        matches!(self, Self::List { .. } | Self::Watch { .. })
+    }
+}
+
 /// Tells why a call to the store failed.
 #[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq)]
 #[display(rename_all = "kebab-case")]
@@ -63,19 +84,22 @@
             cfg,
             position: None,
             listed: false,
+            confirmed: false,
             failures: 0,
             not_before: MonoTime::default(),
         }
     }
 
-    /// Returns the next call; `needed` tells whether no peer brings the news.
+    /// Returns the next call.
     ///
     /// `known` is the revision up to which peers have told everything.
-    pub fn next_step(&self, now: MonoTime, needed: bool, known: Revision) -> StoreStep {
-        if self.position.is_some() && !needed {
+    pub fn next_step(&self, now: MonoTime, need: StoreNeed, known: Revision) -> StoreStep {
+        if self.position.is_some() && need == StoreNeed::None {
             return StoreStep::Rest;
         }
-        if now < self.not_before {
+        // A relay confirms its first list at once; the others wait for a relay to do so.
+        let confirms = need == StoreNeed::Relay && self.listed && !self.confirmed;
+        if now < self.not_before && !(confirms && self.failures == 0) {
             return StoreStep::Pause(self.not_before);
         }
         match self.position.map(|p| p.max(known)) {
@@ -84,19 +108,30 @@
             },
             Some(from) => StoreStep::Watch {
                 from,
-                wait: self.cfg.watch_wait,
+                wait: if self.confirmed {
+                    self.cfg.watch_wait
+                } else {
+                    Duration::ZERO
+                },
             },
         }
     }
 
+    /// Records an answer to a list that may have been seconds old.
+    pub fn on_stale_list(&mut self, now: MonoTime, as_of: Revision) {
+        self.failures = 0;
+        self.listed = true;
+        self.position = Some(as_of);
+        self.not_before = now + self.cfg.relay_patience;
+    }
+
     /// Records an answer that holds everything up to `as_of`; `changed` tells whether it was new.
     pub fn on_answer(&mut self, now: MonoTime, as_of: Revision, changed: bool) {
         self.failures = 0;
         self.listed = true;
+        self.confirmed = true;
         self.position = self.position.max(Some(as_of));
-        if changed {
-            self.not_before = now + self.cfg.gather;
-        }
+        self.not_before = if changed { now + self.cfg.gather } else { now };
     }
 
     /// Records a failed call.
--- a/crates/zinniadrift-runtime/src/steering/border.rs
+++ b/crates/zinniadrift-runtime/src/steering/border.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use zinniadrift_core::flow::FlowKey;
 use zinniadrift_core::steering::{
     CallFault, Cookie, DeliveryGuard, DirectoryListing, Revision, RouteTable, Segment, TargetChange,
 };
@@ -21,8 +22,8 @@
         out: &mut Vec<u8>,
     );
 
-    /// Writes a reset of the packet's flow into `out` and returns where it goes.
-    fn encode_reset(&self, seg: &Segment, seq: u32, out: &mut Vec<u8>) -> SocketAddr;
+    /// Writes a reset of a flow into `out` and returns where it goes.
+    fn encode_reset(&self, flow: FlowKey, seq: u32, out: &mut Vec<u8>) -> SocketAddr;
 
     /// Reads all objects of a feed from the store; with `stale` they may be seconds old.
     fn list(
@@ -55,6 +56,8 @@
 pub struct FeedAnswer {
     /// The revision up to which the answer holds everything.
     pub as_of: Revision,
+    /// Whether the answer may be seconds old.
+    pub stale: bool,
     /// What is new; `None` if nothing changed.
     pub update: Option<Update>,
 }
--- a/crates/zinniadrift-runtime/src/steering/daemon.rs
+++ b/crates/zinniadrift-runtime/src/steering/daemon.rs
@@ -3,12 +3,14 @@
 
 use snafu::ResultExt;
 use tokio::net::UdpSocket;
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use xxhash_rust::xxh3::xxh3_64;
 
-use zinniadrift_core::steering::Steering;
+use zinniadrift_core::steering::{Steering, StoreNeed};
 
 use super::decision_log::DecisionLog;
 use super::driver::Driver;
@@ -22,7 +24,7 @@
 use super::peer_task::PeerTask;
 use super::reload::ReloadTask;
 use super::{Border, EdgeConfig, EdgeSettings, Feed};
-use crate::daemon::{BindSnafu, DaemonError, RunClock, shutdown_signal};
+use crate::daemon::{BindSnafu, DaemonError, RunClock};
 
 /// The queue between tasks and the driver; the driver takes inputs faster than they arrive.
 const QUEUE: usize = 64;
@@ -37,6 +39,14 @@
     B: Border,
     F: Fn() -> Result<EdgeConfig<B>, DaemonError> + Send + Sync + 'static,
 {
+    // A signal before its handler exists would end the process.
+    let listen_for = |kind| {
+        signal(kind).context(BindSnafu {
+            address: "a signal handler",
+        })
+    };
+    let hangup = listen_for(SignalKind::hangup())?;
+    let terminate = listen_for(SignalKind::terminate())?;
     let clock = RunClock::start();
     let EdgeConfig { border, settings } = load()?;
     let cfg = &settings;
@@ -47,7 +57,7 @@
     let (relays_tx, relays) = watch::channel(cfg.seeds.clone());
     let (inputs_tx, inputs) = mpsc::channel(QUEUE);
     let (mark, mark_rx) = watch::channel(StateMark::default());
-    let (needs_store, needed) = watch::channel(true);
+    let (need_tx, need) = watch::channel(StoreNeed::default());
     let (ready, ready_rx) = watch::channel(false);
 
     let histograms = EdgeHistograms::new();
@@ -59,7 +69,7 @@
             clock,
             inputs: inputs_tx.clone(),
             mark: mark_rx.clone(),
-            needed: needed.clone(),
+            need: need.clone(),
             histograms: histograms.clone(),
             stop: stop.clone(),
         };
@@ -71,7 +81,7 @@
         first: xxh3_64(cfg.name.as_bytes()) as usize,
         mark: mark_rx.clone(),
         inputs: inputs_tx.clone(),
-        needs_store,
+        need: need_tx,
         stop: stop.clone(),
     };
     tasks.spawn(peers.run());
@@ -86,13 +96,14 @@
     if let Some(listener) = sockets.metrics {
         tasks.spawn(serve_metrics(listener, inputs_tx.clone(), stop.clone()));
     }
-    tasks.spawn(cancel_on_signal(leave.clone(), stop.clone()));
+    tasks.spawn(cancel_on_signal(terminate, leave.clone(), stop.clone()));
     let reload = ReloadTask {
         load,
         border: border_tx,
         relays: relays_tx,
         inputs: inputs_tx,
         settings: settings.clone(),
+        hangup,
         stop: stop.clone(),
     };
     tasks.spawn(reload.run());
@@ -117,8 +128,10 @@
         log: DecisionLog::default(),
         counters: DriverCounters::default(),
         histograms,
+        probes: JoinSet::new(),
     };
     driver.run().await;
+    driver.probes.shutdown().await;
     drop(driver);
     stop.cancel();
     tasks.wait().await;
@@ -126,9 +139,13 @@
     Ok(())
 }
 
-async fn cancel_on_signal(leave: CancellationToken, stop: CancellationToken) {
+async fn cancel_on_signal(
+    mut terminate: Signal,
+    leave: CancellationToken,
+    stop: CancellationToken,
+) {
     tokio::select! {
-        () = shutdown_signal() => leave.cancel(),
+        _ = terminate.recv() => leave.cancel(),
         () = stop.cancelled() => {}
     }
 }
--- a/crates/zinniadrift-runtime/src/steering/decision_log.rs
+++ b/crates/zinniadrift-runtime/src/steering/decision_log.rs
@@ -56,7 +56,7 @@
     match decision {
         Decision::Placed { copies: 0, .. } => 0,
         Decision::Placed { .. } | Decision::Reset { .. } | Decision::Dropped { .. } => 1,
-        Decision::Target { .. } => 2,
+        Decision::Target { .. } | Decision::Probed { .. } => 2,
         Decision::Configured { .. } => 3,
     }
 }
@@ -118,8 +118,13 @@
             state,
             directory,
         } => {
-            tracing::info!(name = %target, %service, %address, state, %directory, "target changed")
+            tracing::info!(name = %target, %service, %address, state, %directory, "target changed");
         }
+        Decision::Probed {
+            target,
+            result,
+            dead,
+        } => tracing::info!(name = %target, %result, dead, "target probed"),
         Decision::Configured { version, routes } => {
             tracing::info!(%version, routes, "configuration in force");
         }
--- a/crates/zinniadrift-runtime/src/steering/driver.rs
+++ b/crates/zinniadrift-runtime/src/steering/driver.rs
@@ -4,9 +4,10 @@
 
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
+use tokio::task::{JoinError, JoinSet};
 use tokio_util::sync::CancellationToken;
 
-use zinniadrift_core::steering::{Steering, Verdict};
+use zinniadrift_core::steering::{AbandonedFlow, ProbeResult, Steering, Verdict};
 use zinniadrift_core::units::MonoTime;
 
 use super::decision_log::DecisionLog;
@@ -14,6 +15,7 @@
 use super::edge_metrics::EdgeHistograms;
 use super::held_datagrams::HeldDatagrams;
 use super::input::{Input, StateMark};
+use super::probe::probe;
 use super::{Border, Feed, FeedAnswer, Update};
 use crate::daemon::RunClock;
 
@@ -39,6 +41,7 @@
     pub(super) log: DecisionLog,
     pub(super) counters: DriverCounters,
     pub(super) histograms: EdgeHistograms,
+    pub(super) probes: JoinSet<(Box<str>, ProbeResult)>,
 }
 
 /// The time without packets after which a leaving balancer is out of rotation.
@@ -71,6 +74,7 @@
                     self.take(input);
                     self.release_held(&mut out);
                 }
+                Some(done) = self.probes.join_next() => self.take_probe(done, &mut out),
                 () = self.leave.cancelled(), if leaving_since.is_none() => {
                     tracing::info!("leaving: reported as not ready, still forwarding");
                     leaving_since = Some(self.clock.now());
@@ -84,6 +88,7 @@
             }
             last_turn = self.clock.now();
             self.flush_log(last_turn);
+            self.start_probes();
             let Some(since) = leaving_since else {
                 self.update_readiness();
                 continue;
@@ -139,7 +144,7 @@
                 self.send(to.into(), out);
             }
             Verdict::Reset { seq, .. } => {
-                let to = border.encode_reset(&seg, seq, out);
+                let to = border.encode_reset(seg.flow, seq, out);
                 self.send(to, out);
             }
             Verdict::Drop(_) => {}
@@ -163,6 +168,29 @@
         }
     }
 
+    fn start_probes(&mut self) {
+        for target in self.steering.take_probes() {
+            self.probes
+                .spawn(async move { (target.name, probe(target.address).await) });
+        }
+    }
+
+    fn take_probe(&mut self, done: Result<(Box<str>, ProbeResult), JoinError>, out: &mut Vec<u8>) {
+        let (name, result) = match done {
+            Ok(done) => done,
+            Err(e) => {
+                tracing::error!(error = %e, "a probe failed");
+                return;
+            }
+        };
+        let now = self.clock.now();
+        let border = Arc::clone(&self.border.borrow());
+        for AbandonedFlow { flow, seq } in self.steering.on_probe(now, &name, result) {
+            let to = border.encode_reset(flow, seq, out);
+            self.send(to, out);
+        }
+    }
+
     fn take(&mut self, input: Input) {
         let now = self.clock.now();
         match input {
@@ -185,12 +213,18 @@
     fn take_answer(&mut self, now: MonoTime, feed: Feed, answer: FeedAnswer) {
         let as_of = answer.as_of;
         tracing::debug!(%feed, %as_of, changed = answer.update.is_some(), "store answered");
+        let confirmed = (!answer.stale).then_some(now);
         match (answer.update, feed) {
-            (Some(Update::Listing(listing)), _) => self.steering.on_listing(now, now, listing),
+            (Some(Update::Listing(listing)), _) => {
+                self.steering.on_listing(now, confirmed, listing);
+            }
             (Some(Update::Changes(changes)), _) => {
                 self.steering.on_changes(now, now, changes, as_of);
             }
-            (Some(Update::Routes(table)), _) => self.steering.on_routes(now, as_of, table),
+            (Some(Update::Routes(table)), _) => {
+                self.steering.on_routes(now, confirmed, as_of, table);
+            }
+            (None, _) if answer.stale => {}
             (None, Feed::Targets) => self.steering.on_changes(now, now, Vec::new(), as_of),
             (None, Feed::Routes) => self.steering.confirm_routes(now, as_of),
         }
--- a/crates/zinniadrift-runtime/src/steering/edge_metrics.rs
+++ b/crates/zinniadrift-runtime/src/steering/edge_metrics.rs
@@ -25,7 +25,7 @@
 type DriverCounter = (Metric, fn(&DriverCounters) -> u64);
 type StateGauge = (Metric, fn(&Steering, MonoTime) -> i64);
 
-pub(crate) const STEERING_COUNTERS: [CoreCounter; 13] = [
+pub(crate) const STEERING_COUNTERS: [CoreCounter; 14] = [
     (
         Metric::counter(
             "flows_opened",
@@ -90,6 +90,14 @@
         ),
         |c| c.reset_target_gone,
     ),
+    (
+        Metric::counter(
+            "resets_target_silent",
+            "flows",
+            "flows reset because their target answers neither callers nor probes",
+        ),
+        |c| c.reset_target_silent,
+    ),
     (
         Metric::counter(
             "resets_unknown_cookie",
--- a/crates/zinniadrift-runtime/src/steering/feed_task.rs
+++ b/crates/zinniadrift-runtime/src/steering/feed_task.rs
@@ -3,7 +3,9 @@
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
-use zinniadrift_core::steering::{CallFault, Revision, StoreStep, WatchLoop, WatchSettings};
+use zinniadrift_core::steering::{
+    CallFault, Revision, StoreNeed, StoreStep, WatchLoop, WatchSettings,
+};
 
 use super::edge_metrics::EdgeHistograms;
 use super::input::{Input, StateMark};
@@ -19,8 +21,8 @@
     pub(super) inputs: mpsc::Sender<Input>,
     /// What the driver knows from all sources.
     pub(super) mark: watch::Receiver<StateMark>,
-    /// Whether no relay brings the news.
-    pub(super) needed: watch::Receiver<bool>,
+    /// Why the store has to be called.
+    pub(super) need: watch::Receiver<StoreNeed>,
     pub(super) histograms: EdgeHistograms,
     pub(super) stop: CancellationToken,
 }
@@ -39,12 +41,12 @@
                 watch_loop.restart(now);
             }
             let known = self.known_revision(mark);
-            let needed = *self.needed.borrow_and_update();
-            let step = watch_loop.next_step(now, needed, known);
+            let need = *self.need.borrow_and_update();
+            let step = watch_loop.next_step(now, need, known);
             let border = Arc::clone(&self.border.borrow());
             let result = tokio::select! {
                 () = self.stop.cancelled() => return,
-                Ok(()) = self.needed.changed(), if step == StoreStep::Rest => continue,
+                Ok(()) = self.need.changed(), if !step.is_call() => continue,
                 () = paused(&mut self.mark, pauses) => continue,
                 result = perform(&*border, self.feed, self.clock, step) => result,
             };
@@ -77,7 +79,11 @@
         let feed = self.feed;
         match result {
             Ok(answer) => {
-                watch_loop.on_answer(now, answer.as_of, answer.update.is_some());
+                if answer.stale {
+                    watch_loop.on_stale_list(now, answer.as_of);
+                } else {
+                    watch_loop.on_answer(now, answer.as_of, answer.update.is_some());
+                }
                 if std::mem::replace(failing, false) {
                     tracing::info!(%feed, as_of = %answer.as_of, "store answers again");
                 }
@@ -101,7 +107,7 @@
 async fn paused(mark: &mut watch::Receiver<StateMark>, known: u64) {
     if mark.wait_for(|m| m.pauses != known).await.is_err() {
         // The driver has ended, and with it the process.
-        std::future::pending().await
+        std::future::pending::<()>().await;
     }
 }
 
--- a/crates/zinniadrift-runtime/src/steering/mod.rs
+++ b/crates/zinniadrift-runtime/src/steering/mod.rs
@@ -13,6 +13,7 @@
 mod input;
 mod peer_service;
 mod peer_task;
+mod probe;
 mod reload;
 
 pub use border::{Border, Feed, FeedAnswer, Update};
--- a/crates/zinniadrift-runtime/src/steering/peer_task.rs
+++ b/crates/zinniadrift-runtime/src/steering/peer_task.rs
@@ -6,7 +6,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
-use zinniadrift_core::steering::{PeerUpdate, RelayChoice};
+use zinniadrift_core::steering::{PeerUpdate, RelayChoice, StoreNeed};
 use zinniadrift_store::{HttpTransport, StoreError};
 
 use super::input::{Input, StateMark};
@@ -28,8 +28,8 @@
     pub(super) first: usize,
     pub(super) mark: watch::Receiver<StateMark>,
     pub(super) inputs: mpsc::Sender<Input>,
-    /// Tells the feeds whether the balancer has to watch the store itself.
-    pub(super) needs_store: watch::Sender<bool>,
+    /// Tells the feeds why the store has to be called.
+    pub(super) need: watch::Sender<StoreNeed>,
     pub(super) stop: CancellationToken,
 }
 
@@ -43,7 +43,7 @@
             let others = all.iter().copied().filter(|r| Some(*r) != self.own);
             let others: Vec<SocketAddr> = others.collect();
             let mut choice = RelayChoice::new(others.len(), self.first, is_relay);
-            self.needs_store.send_replace(choice.needs_store());
+            self.need.send_replace(choice.store_need());
             while !self.relays.has_changed().unwrap_or(true) {
                 let Some(position) = choice.relay() else {
                     break;
@@ -70,7 +70,7 @@
             known: self.mark.borrow().known,
             wait_ms: u64::try_from(NEWS_WAIT.as_millis()).unwrap_or(u64::MAX),
         };
-        let before = choice.needs_store();
+        let before = choice.store_need();
         let answer = ask(transport, relay, question).await;
         let age = match &answer {
             Ok(update) => {
@@ -84,11 +84,11 @@
                 None
             }
         };
-        let after = choice.needs_store();
+        let after = choice.store_need();
         if before != after {
             let age_ms = age.and_then(|a| u64::try_from(a.as_millis()).ok());
-            tracing::info!(%relay, age_ms, watches_store = after, "source of news changed");
-            self.needs_store.send_replace(after);
+            tracing::info!(%relay, age_ms, store_need = ?after, "source of news changed");
+            self.need.send_replace(after);
         }
         match answer {
             // The driver is gone only when the process stops.
--- a/crates/zinniadrift-runtime/src/steering/reload.rs
+++ b/crates/zinniadrift-runtime/src/steering/reload.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::Signal;
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
@@ -29,6 +29,7 @@
     pub(super) relays: watch::Sender<Vec<std::net::SocketAddr>>,
     pub(super) inputs: mpsc::Sender<Input>,
     pub(super) settings: EdgeSettings,
+    pub(super) hangup: Signal,
     pub(super) stop: CancellationToken,
 }
 
@@ -39,19 +40,12 @@
 {
     /// Runs until the process stops.
     pub(super) async fn run(mut self) {
-        let mut hangup = match signal(SignalKind::hangup()) {
-            Ok(hangup) => hangup,
-            Err(e) => {
-                tracing::error!(error = %e, "cannot listen for SIGHUP");
-                return;
-            }
-        };
         let mut ticks = tokio::time::interval(READ_EVERY);
         ticks.tick().await;
         loop {
             let asked = tokio::select! {
                 () = self.stop.cancelled() => return,
-                Some(()) = hangup.recv() => true,
+                Some(()) = self.hangup.recv() => true,
                 _ = ticks.tick() => false,
             };
             self.reload(asked).await;
--- /dev/null
+++ b/tests/testsuite/edge_decoders.rs
@@ -0,0 +1,309 @@
+//! Checks the decoders of the users' platform with generated input.
+
+use std::net::SocketAddrV4;
+
+use proptest::prelude::*;
+use serde_json::{Value, json};
+
+use zinniadrift_core::steering::{Cookie, DeliveryGuard, InstanceState, SegmentKind};
+use zinniadrift_edge::{
+    BootFile, HEADER_BYTES, MAX_DATA_BYTES, PacketHeader, decode_configuration, decode_packet,
+    decode_server, encode_forward, encode_reset, flag,
+};
+
+fn header(flags: u8, len: u16) -> PacketHeader {
+    PacketHeader {
+        seq: 7,
+        ack: 9,
+        source: "100.64.0.9:40000".parse().unwrap(),
+        destination: "198.18.0.3:8443".parse().unwrap(),
+        len,
+        sum: 0x1234,
+        flags,
+        echo: 0xabcd,
+    }
+}
+
+fn datagram(flags: u8, data: &[u8]) -> Vec<u8> {
+    let mut out = header(flags, data.len() as u16).encode().to_vec();
+    out.extend_from_slice(data);
+    out
+}
+
+macro_rules! kinds {
+    ($($name:ident: $flags:expr => $kind:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let kind = decode_packet(&datagram($flags, b"")).map(|s| s.kind);
+                assert_eq!(kind, $kind);
+            }
+        )*
+    };
+}
+
+kinds! {
+    opening_packet: flag::SYN => Some(SegmentKind::Open { copies: 9 });
+    answer_to_an_opening_packet_is_not_a_callers: flag::SYN | flag::ACK => None;
+    acknowledgement: flag::ACK => Some(SegmentKind::Middle);
+    packet_without_flags: 0 => Some(SegmentKind::Middle);
+    close: flag::FIN | flag::ACK => Some(SegmentKind::Close);
+    reset: flag::RST => Some(SegmentKind::Reset);
+    reset_with_everything_else: 0xff => Some(SegmentKind::Reset);
+}
+
+/// Guards against datagrams whose length does not fit their header.
+#[test]
+fn datagram_of_another_length_is_no_packet() {
+    let good = datagram(flag::ACK, b"data");
+    assert!(decode_packet(&good).is_some());
+    for len in 0..good.len() {
+        assert!(decode_packet(&good[..len]).is_none(), "{len} bytes");
+    }
+    let mut longer = good;
+    longer.push(0);
+    assert!(decode_packet(&longer).is_none());
+    let largest = datagram(flag::ACK, &[0; MAX_DATA_BYTES]);
+    assert!(decode_packet(&largest).is_some());
+    let too_large = datagram(flag::ACK, &[0; MAX_DATA_BYTES + 1]);
+    assert!(decode_packet(&too_large).is_none());
+}
+
+/// Guards against resets that callers do not take for ones of their flow.
+#[test]
+fn reset_goes_back_to_the_callers_host() {
+    let seg = decode_packet(&datagram(flag::ACK, b"")).unwrap();
+    let mut out = vec![1; 100];
+    let to = encode_reset(seg.flow, 77, 8_032, &mut out);
+    assert_eq!(to, "100.64.0.9:8032".parse().unwrap());
+    let reset = PacketHeader::decode(&out).unwrap();
+    assert_eq!(reset.source, header(0, 0).destination);
+    assert_eq!(reset.destination, header(0, 0).source);
+    assert_eq!((reset.seq, reset.sum, reset.flags), (77, 0, flag::RST));
+}
+
+proptest! {
+    /// Guards against panics on any datagram.
+    #[test]
+    fn any_datagram_is_decoded_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..1_400)) {
+        if let Some(seg) = decode_packet(&bytes) {
+            prop_assert_eq!(usize::from(seg.len), bytes.len() - HEADER_BYTES);
+        }
+    }
+
+    /// Guards against packets that change on their way to a target, but for the cookie.
+    #[test]
+    fn forwarded_packet_is_the_callers(
+        flags in any::<u8>(),
+        data in prop::collection::vec(any::<u8>(), 0..MAX_DATA_BYTES),
+        guard in any::<u64>(),
+        cookie in any::<u32>(),
+    ) {
+        let sent = datagram(flags, &data);
+        let mut out = Vec::new();
+        encode_forward(&sent, DeliveryGuard::from(guard), Cookie::from(cookie), &mut out);
+        prop_assert_eq!(&out[..8], &guard.to_be_bytes());
+        let mut received = PacketHeader::decode(&out[8..]).unwrap();
+        prop_assert_eq!(received.echo, cookie);
+        received.echo = header(0, 0).echo;
+        prop_assert_eq!(received, header(flags, data.len() as u16));
+        prop_assert_eq!(&out[8 + HEADER_BYTES..], &data);
+    }
+
+    /// Guards against panics on entries of other writers, and against entries that half fit.
+    #[test]
+    fn odd_entries_name_no_target(field in 0_usize..8, odd in odd_value()) {
+        let names = ["service", "address", "zone", "version", "slots", "state",
+                     "cold_remaining_ms", "sequence"];
+        let mut entry = server();
+        entry[names[field]] = odd;
+        prop_assert!(decode_server("i-00c0ffee", &entry).is_err());
+        let mut missing = server();
+        missing.as_object_mut().unwrap().remove(names[field]);
+        prop_assert!(decode_server("i-00c0ffee", &missing).is_err());
+    }
+
+    /// Guards against panics on any JSON where the platform's objects are expected.
+    #[test]
+    fn any_json_is_decoded_or_refused(value in any_json()) {
+        let _entry = decode_server("i-00c0ffee", &value);
+        let _configuration = decode_configuration(&value);
+        let _file = BootFile::parse(value.to_string().as_bytes(), "boot.json");
+    }
+
+    /// Guards against panics on settings that are cut off or damaged.
+    #[test]
+    fn damaged_settings_are_refused(at in 0_usize..600, byte in any::<u8>()) {
+        let mut text = boot().to_string().into_bytes();
+        let at = at % text.len();
+        text[at] = byte;
+        let _file = BootFile::parse(&text, "boot.json");
+        text.truncate(at);
+        prop_assert!(BootFile::parse(&text, "boot.json").is_err());
+    }
+}
+
+fn odd_value() -> impl Strategy<Value = Value> {
+    prop_oneof![
+        Just(Value::Null),
+        Just(json!([])),
+        Just(json!({"a": 1})),
+        Just(json!(-1)),
+        Just(json!(1.5)),
+        Just(json!(true)),
+    ]
+}
+
+fn any_json() -> impl Strategy<Value = Value> {
+    let key = prop_oneof![
+        Just("version".to_owned()),
+        Just("routes".to_owned()),
+        Just("limits".to_owned()),
+        Just("bounds".to_owned()),
+        Just("listen".to_owned()),
+        Just("address".to_owned()),
+        "[a-z_]{1,8}",
+    ];
+    let leaf = prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        any::<f64>().prop_map(Value::from),
+        ".{0,12}".prop_map(Value::from),
+    ];
+    leaf.prop_recursive(4, 40, 6, move |inner| {
+        prop_oneof![
+            prop::collection::vec(inner.clone(), 0..5).prop_map(Value::from),
+            prop::collection::btree_map(key.clone(), inner, 0..6)
+                .prop_map(|m| Value::Object(m.into_iter().collect())),
+        ]
+    })
+}
+
+fn server() -> Value {
+    json!({
+        "service": "gradebook", "address": "10.0.0.1:8080", "zone": "lowell", "version": "v2",
+        "slots": 2, "state": "ready", "cold_remaining_ms": 0, "sequence": 1, "born": 17,
+    })
+}
+
+/// Guards against entries whose fields are read under the wrong name.
+#[test]
+fn entry_of_an_endpoint_is_read() {
+    let target = decode_server("i-00c0ffee", &server()).unwrap();
+    assert_eq!(target.guard, 0x00c0_ffee.into());
+    assert_eq!(
+        target.address,
+        "10.0.0.1:8080".parse::<SocketAddrV4>().unwrap()
+    );
+    assert_eq!(target.state, InstanceState::Ready);
+    assert_eq!((target.slots, target.born_ms), (2, Some(17)));
+}
+
+/// Guards against ids that name another endpoint in the 8 bytes before a packet.
+#[test]
+fn guard_is_the_number_in_the_id() {
+    let guard = |id: &str| decode_server(id, &server()).map(|t| u64::from(t.guard));
+    assert_eq!(guard("i-7f3a91c255"), Ok(0x7f_3a91_c255));
+    assert_eq!(guard("i-ffffffffffffffff"), Ok(u64::MAX));
+    // More digits than the field holds: the packet names no particular endpoint.
+    assert_eq!(guard("i-1ffffffffffffffff"), Ok(0));
+    assert!(guard("i-").is_err());
+    assert!(guard("ghost").is_err());
+    assert!(guard("").is_err());
+}
+
+macro_rules! bad_entries {
+    ($($name:ident: $field:literal = $value:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut entry = server();
+                entry[$field] = $value;
+                assert!(decode_server("i-00c0ffee", &entry).is_err());
+            }
+        )*
+    };
+}
+
+bad_entries! {
+    unknown_state_is_no_target: "state" = json!("leaving");
+    address_without_a_port_is_no_target: "address" = json!("10.0.0.1");
+    no_slots_is_no_target: "slots" = json!(0);
+    too_many_slots_are_no_target: "slots" = json!(70_000);
+    start_that_is_no_whole_number_is_no_target: "born" = json!("yesterday");
+    start_as_a_fraction_is_no_target: "born" = json!(1.5);
+}
+
+fn boot() -> Value {
+    json!({
+        "node_name": "front-1", "ip": "10.1.0.10", "zone": "lowell", "new_field": {"a": []},
+        "listen": {"datagram_address": "10.1.0.10:8172", "ready": "10.1.0.10:8167",
+                   "control": "10.1.0.10:8166"},
+        "seeds": ["10.1.0.10:8166"],
+        "bounds": {"grace_s": 6, "flow_lifetime_s": 60, "other": true},
+        "platform": {"address": "10.200.1.7:8169"},
+    })
+}
+
+/// Guards against settings that are refused because of fields that are not known.
+#[test]
+fn settings_with_unknown_fields_are_read() {
+    let file = BootFile::parse(boot().to_string().as_bytes(), "boot.json").unwrap();
+    let settings = file.edge_settings(Some(9_000));
+    assert_eq!(&*settings.name, "front-1");
+    assert_eq!(settings.metrics, Some("10.1.0.10:9000".parse().unwrap()));
+    assert_eq!(settings.stop_within.as_millis(), 4_800);
+}
+
+macro_rules! bad_settings {
+    ($($name:ident: $pointer:literal = $value:expr => $path:literal;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let mut value = boot();
+                *value.pointer_mut($pointer).unwrap() = $value;
+                let e = BootFile::parse(value.to_string().as_bytes(), "boot.json").unwrap_err();
+                let text = e.to_string();
+                assert!(text.contains("boot.json"), "{text}");
+                assert!(text.contains($path), "{text}");
+            }
+        )*
+    };
+}
+
+bad_settings! {
+    address_must_be_one: "/listen/ready" = json!("here") => "$.listen.ready";
+    zone_must_be_text: "/zone" = json!(5) => "$.zone";
+    seeds_must_be_a_list: "/seeds" = json!("10.1.0.1:1") => "$.seeds";
+    bounds_must_be_numbers: "/bounds/grace_s" = json!("6") => "$.bounds.grace_s";
+    bounds_must_not_be_negative: "/bounds/grace_s" = json!(-1) => "$.bounds.grace_s";
+    bounds_must_be_finite_times: "/bounds/flow_lifetime_s" = json!(1e300) => "flow_lifetime_s";
+    store_must_be_an_address: "/platform/address" = json!(null) => "$.platform.address";
+}
+
+/// Guards against one bad route that hides the others.
+#[test]
+fn routes_that_cannot_be_read_are_left_out() {
+    let route = |host: &str, port: &str| {
+        json!({"name": "r", "host": host, "path_prefix": port, "kind": "safe",
+               "priority": 1, "service": "gradebook"})
+    };
+    let spec = json!({
+        "version": 40,
+        "routes": [
+            route("198.18.0.1", "/443/"),
+            route("198.18.0.1", "/none/"),
+            route("somewhere", "/443/"),
+            {"name": "r"},
+            {"name": "s", "host": "198.18.0.2", "path_prefix": "/80/", "kind": "upload",
+             "priority": 2, "backends": [{"service": "a", "weight": 9}, {"service": "b", "weight": 1}]},
+        ],
+        "limits": {"idle_timeout_ms": 15_000},
+    });
+    let (table, faults) = decode_configuration(&spec).unwrap();
+    assert_eq!((table.len(), faults.len()), (2, 3));
+    assert_eq!(table.version(), 40.into());
+    let split = table.get("198.18.0.2:80".parse().unwrap()).unwrap();
+    assert_eq!(split.backends.len(), 2);
+}
--- /dev/null
+++ b/tests/testsuite/edge_processes.rs
@@ -0,0 +1,313 @@
+//! Runs the balancer of the users' platform as processes, with stand-ins around them.
+
+use std::io::Read;
+use std::process::{Command, Stdio};
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpStream, UdpSocket};
+use tokio::time::{Instant, sleep, timeout};
+
+use zinniadrift_edge::flag;
+use zinniadrift_stand_ins::{
+    Balancer, CallerSettings, FlowPacket, Link, Net, ROUTE, Refusal, StoreFaults, World,
+    WorldSettings,
+};
+
+use crate::processes_world::program;
+
+/// The time in which a change must become visible, on a machine that may be very busy.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+async fn world(number: u8, balancers: u8, targets: u8) -> World {
+    let settings = WorldSettings {
+        number,
+        program: program("zinniadrift-edge"),
+        balancers,
+        targets,
+    };
+    let mut world = World::start(&settings).await.unwrap();
+    assert!(
+        world
+            .wait_for_rotation(usize::from(balancers), PATIENCE)
+            .await
+    );
+    world
+}
+
+/// Waits until `done` holds.
+async fn until(what: &str, mut done: impl FnMut() -> bool) {
+    let deadline = Instant::now() + PATIENCE;
+    while !done() {
+        assert!(Instant::now() < deadline, "not within {PATIENCE:?}: {what}");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+fn log_of(balancer: &Balancer) -> String {
+    std::fs::read_to_string(balancer.log_path()).unwrap()
+}
+
+async fn get(address: std::net::SocketAddrV4, path: &str) -> Option<String> {
+    let exchange = async {
+        let mut stream = TcpStream::connect(address).await.ok()?;
+        let req = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        stream.write_all(req.as_bytes()).await.ok()?;
+        let mut text = String::new();
+        stream.read_to_string(&mut text).await.ok()?;
+        Some(text)
+    };
+    timeout(Duration::from_secs(5), exchange).await.ok()?
+}
+
+/// Guards the whole path: callers, balancers and targets as on the platform.
+#[tokio::test]
+async fn flows_are_served_through_all_balancers() {
+    let mut w = world(0, 3, 4).await;
+    w.call(0, CallerSettings::default());
+    let ledger = w.ledger.clone();
+    until("500 answers", || ledger.summary().answered > 500).await;
+    let summary = ledger.summary();
+    assert_eq!(summary.broken, Vec::<String>::new());
+    w.stop(true).await;
+}
+
+/// Guards against a process that ends on SIGHUP (seen on glag-ore-grown trouble-1, 62 times), and
+/// against settings that are not read again with and without it.
+#[tokio::test]
+async fn settings_are_read_again() {
+    let mut w = world(1, 1, 1).await;
+    // A single balancer is in rotation even before it runs.
+    let started = |w: &World| log_of(&w.balancers[0]).contains("balancer started");
+    until("the process runs", || started(&w)).await;
+    w.balancers[0].signal(Signal::SIGHUP);
+    let unchanged = |w: &World| log_of(&w.balancers[0]).contains("nothing changed");
+    until("SIGHUP is noticed", || unchanged(&w)).await;
+    assert!(w.balancers[0].ended().is_none());
+    w.balancers[0]
+        .change_settings("seeds", json!(["127.0.0.1:1"]))
+        .unwrap();
+    let changed = |w: &World| log_of(&w.balancers[0]).contains("settings changed");
+    until("the change is noticed", || changed(&w)).await;
+    // A file that cannot be read changes nothing.
+    w.balancers[0]
+        .change_settings("seeds", json!("none"))
+        .unwrap();
+    w.balancers[0].signal(Signal::SIGHUP);
+    let refused = |w: &World| log_of(&w.balancers[0]).contains("$.seeds");
+    until("the fault is reported", || refused(&w)).await;
+    assert!(w.balancers[0].ended().is_none());
+    w.stop(true).await;
+}
+
+/// Guards against a planned stop that callers notice.
+#[tokio::test]
+async fn stopped_balancer_leaves_rotation_first() {
+    let mut w = world(2, 3, 3).await;
+    w.call(0, CallerSettings::default());
+    let ledger = w.ledger.clone();
+    until("callers are served", || ledger.summary().answered > 100).await;
+    w.balancers[0].signal(Signal::SIGTERM);
+    until("the process ends", || w.balancers[0].ended().is_some()).await;
+    assert!(w.balancers[0].ended().unwrap().success());
+    let served = ledger.summary().answered;
+    until("the others serve", || {
+        ledger.summary().answered > served + 200
+    })
+    .await;
+    let summary = ledger.summary();
+    assert_eq!(summary.broken, Vec::<String>::new());
+    assert_eq!(summary.failed, Default::default());
+    w.stop(true).await;
+}
+
+/// Guards against a newcomer that the store refuses and that therefore takes no packets.
+#[tokio::test]
+async fn newcomer_learns_from_a_relay() {
+    let mut w = world(3, 3, 2).await;
+    w.balancers[1].kill();
+    w.proxies[1].set(Link::Reset);
+    w.balancers[1].spawn().unwrap();
+    let ready = w.net.at(Net::balancer(1), Net::READINESS);
+    let deadline = Instant::now() + PATIENCE;
+    while !get(ready, "/").await.is_some_and(|a| a.contains(" 200 ")) {
+        assert!(Instant::now() < deadline, "not ready");
+        sleep(Duration::from_millis(50)).await;
+    }
+    w.stop(true).await;
+}
+
+/// Guards against balancers that all watch the store.
+#[tokio::test]
+async fn calls_to_the_store_do_not_grow_with_balancers() {
+    let w = world(4, 9, 2).await;
+    let quiet = Duration::from_secs(6);
+    sleep(Duration::from_secs(2)).await;
+    let before = w.store.calls();
+    sleep(quiet).await;
+    let calls = w.store.calls() - before;
+    // Three relays with two feeds, one call in four seconds each, and one for the edges.
+    let most = 3 * 2 * (quiet.as_secs() / 4 + 1);
+    assert!(
+        calls <= most,
+        "{calls} calls of 9 balancers, at most {most}"
+    );
+    w.stop(true).await;
+}
+
+/// Guards against flows that break or stay unserved while the store is away.
+#[tokio::test]
+async fn callers_do_not_notice_an_outage_of_the_store() {
+    let mut w = world(5, 3, 3).await;
+    w.call(0, CallerSettings::default());
+    let ledger = w.ledger.clone();
+    until("callers are served", || ledger.summary().answered > 50).await;
+    for refusal in [Refusal::Silence, Refusal::Status(429), Refusal::Status(503)] {
+        w.store.set_faults(StoreFaults {
+            refusal: Some(refusal),
+            ..StoreFaults::default()
+        });
+        let served = ledger.summary().answered;
+        sleep(Duration::from_millis(2_500)).await;
+        until("callers are served", || {
+            ledger.summary().answered > served + 100
+        })
+        .await;
+    }
+    let summary = ledger.summary();
+    assert_eq!(summary.broken, Vec::<String>::new());
+    assert_eq!(summary.failed, Default::default());
+    w.stop(true).await;
+}
+
+/// Guards against opening packets that are lost while a balancer reads its first list.
+#[tokio::test]
+async fn packets_before_the_first_list_are_kept() {
+    let mut w = world(6, 1, 1).await;
+    w.balancers[0].kill();
+    w.store.set_faults(StoreFaults {
+        delay: Duration::from_millis(100),
+        ..StoreFaults::default()
+    });
+    w.balancers[0].spawn().unwrap();
+    let caller = w.net.caller(9);
+    let socket = UdpSocket::bind(caller).await.unwrap();
+    let front = w.net.at(Net::balancer(0), Net::PACKETS);
+    let source = std::net::SocketAddrV4::new(*caller.ip(), 4_000);
+    let syn = FlowPacket::new(
+        source,
+        ROUTE.parse().unwrap(),
+        flag::SYN,
+        (5, 0),
+        Vec::new(),
+    );
+    // Packets to the closed port are lost; the first that arrives must be answered.
+    let ready = w.net.at(Net::balancer(0), Net::READINESS);
+    until_listening(front, ready).await;
+    socket.send_to(&syn.encode(), front).await.unwrap();
+    let mut buf = [0; 2_048];
+    let (len, _) = timeout(PATIENCE, socket.recv_from(&mut buf))
+        .await
+        .unwrap()
+        .unwrap();
+    let answer = FlowPacket::decode(&buf[..len]).unwrap();
+    assert!(answer.has(flag::SYN | flag::ACK));
+    w.stop(true).await;
+}
+
+/// Waits until the balancer's sockets are open: the packet socket opens before the readiness one.
+async fn until_listening(_front: std::net::SocketAddrV4, ready: std::net::SocketAddrV4) {
+    let deadline = Instant::now() + PATIENCE;
+    while TcpStream::connect(ready).await.is_err() {
+        assert!(Instant::now() < deadline, "not listening");
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// Guards against packets that wait for a reader of the log that has stopped, and against a log
+/// and metrics without bounds under a flood.
+#[tokio::test]
+async fn stopped_reader_of_the_log_delays_no_packet() {
+    let mut w = world(7, 1, 2).await;
+    w.balancers[0].kill();
+    let settings = w.dir.join("balancer-0.json");
+    let mut child = Command::new(program("zinniadrift-edge"))
+        .args(["--metrics-port", &Net::METRICS.to_string()])
+        .env("ZINNIADRIFT_BOOT", settings)
+        // Nobody reads this pipe.
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    let ready = w.net.at(Net::balancer(0), Net::READINESS);
+    until_listening(ready, ready).await;
+    // Each flow is a line, and each packet without a cookie another.
+    let flood = UdpSocket::bind(w.net.caller(9)).await.unwrap();
+    let front = w.net.at(Net::balancer(0), Net::PACKETS);
+    for i in 0..60_000_u32 {
+        let source = std::net::SocketAddrV4::new(*w.net.caller(9).ip(), i as u16);
+        let flags = if i % 2 == 0 { flag::SYN } else { flag::ACK };
+        let packet = FlowPacket::new(source, ROUTE.parse().unwrap(), flags, (i, 0), Vec::new());
+        flood.send_to(&packet.encode(), front).await.unwrap();
+        if i % 100 == 0 {
+            sleep(Duration::from_millis(1)).await;
+        }
+    }
+    w.call(0, CallerSettings::default());
+    let ledger = w.ledger.clone();
+    until("callers are served", || ledger.summary().answered > 100).await;
+    let metrics = get(w.net.at(Net::balancer(0), Net::METRICS), "/metrics")
+        .await
+        .unwrap();
+    let suppressed = metrics
+        .lines()
+        .find(|l| l.contains("log_lines_suppressed_total "));
+    let count: f64 = suppressed
+        .unwrap()
+        .rsplit(' ')
+        .next()
+        .unwrap()
+        .parse()
+        .unwrap();
+    assert!(count > 1_000.0, "{suppressed:?}");
+    assert!(
+        metrics.len() < 100_000,
+        "{} bytes of metrics",
+        metrics.len()
+    );
+    child.kill().unwrap();
+    child.wait().unwrap();
+    let mut log = Vec::new();
+    child.stdout.take().unwrap().read_to_end(&mut log).unwrap();
+    assert!(log.len() < 200_000, "{} bytes of log", log.len());
+    w.stop(true).await;
+}
+
+/// Guards against bad settings and arguments that end in a panic or pass unnoticed.
+#[test]
+fn bad_input_is_explained() {
+    let run = |args: &[&str]| {
+        let mut command = Command::new(program("zinniadrift-edge"));
+        let output = command
+            .args(args)
+            .env_remove("ZINNIADRIFT_BOOT")
+            .output()
+            .unwrap();
+        (
+            output.status.code(),
+            String::from_utf8_lossy(&output.stderr).into_owned(),
+        )
+    };
+    let (code, text) = run(&["--what"]);
+    assert_eq!(code, Some(2), "{text}");
+    assert!(text.contains("--what"), "{text}");
+    let (code, text) = run(&[]);
+    assert_eq!(code, Some(2), "{text}");
+    assert!(text.contains("ZINNIADRIFT_BOOT"), "{text}");
+    let (code, text) = run(&["--settings", "/nonexistent/boot.json"]);
+    assert_eq!(code, Some(4), "{text}");
+    let (code, text) = run(&["--metrics-port", "many"]);
+    assert_eq!(code, Some(2), "{text}");
+}
--- /dev/null
+++ b/tests/testsuite/edge_soak.rs
@@ -0,0 +1,36 @@
+//! Runs short soaks with fixed seeds; `zinniadrift-soak` runs longer ones.
+
+use std::time::Duration;
+
+use zinniadrift_stand_ins::{SoakSettings, run_soak};
+
+use crate::processes_world::program;
+
+macro_rules! soaks {
+    ($($name:ident: seed $seed:literal, number $number:literal;)*) => {
+        $(
+            /// Guards the promises of the platform's pages under faults from outside.
+            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+            async fn $name() {
+                let cfg = SoakSettings {
+                    program: program("zinniadrift-edge"),
+                    seed: $seed,
+                    faults_for: Duration::from_secs(8),
+                    balancers: 4,
+                    targets: 5,
+                    callers: 2,
+                };
+                let report = run_soak(&cfg, $number).await.unwrap();
+                let broken = &report.summary.broken;
+                let logs = &report.logs;
+                assert!(broken.is_empty(), "{broken:#?} {logs:?} {:#?}", report.faults);
+                assert!(report.summary.answered > 0);
+            }
+        )*
+    };
+}
+
+soaks! {
+    soak_seed_1: seed 1, number 14;
+    soak_seed_2: seed 2, number 15;
+}
--- a/tests/testsuite/steering/configuration.rs
+++ b/tests/testsuite/steering/configuration.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use zinniadrift_core::steering::{ResetReason, RouteKind, Verdict};
+use zinniadrift_core::steering::{DirectoryListing, ResetReason, RouteKind, Verdict};
 
 use super::world::{
-    CERTIFICATE, STREAM, World, forwarded, reset_reason, route, standard_routes, target,
+    CERTIFICATE, STREAM, World, forwarded, reset_reason, route, standard_routes, table, target,
 };
 
 const NEW: &str = "198.18.0.9:8443";
@@ -133,3 +133,21 @@
     let idle = w.core.routes().idle_timeout();
     assert_eq!(idle, Duration::from_secs(15));
 }
+
+/// Guards against refusals on a first list that may be seconds old (found by
+/// `edge_processes::stopped_balancer_leaves_rotation_first`: targets that had just registered).
+#[test]
+fn nothing_is_refused_on_a_list_that_may_be_old() {
+    let mut w = World::empty(1);
+    let as_of = w.next_revision();
+    let targets = Vec::new();
+    w.core
+        .on_listing(w.now, None, DirectoryListing { as_of, targets });
+    let routes = table(1, standard_routes());
+    w.core.on_routes(w.now, None, as_of, routes);
+    assert!(w.core.can_place());
+    assert!(matches!(w.open(1_000, STREAM, 0), Verdict::Drop(_)));
+    assert!(matches!(w.open(1_000, NEW, 0), Verdict::Drop(_)));
+    w.put(target(1));
+    forwarded(w.open(1_000, STREAM, 1));
+}
--- a/tests/testsuite/steering/ended_targets.rs
+++ b/tests/testsuite/steering/ended_targets.rs
@@ -175,6 +175,6 @@
         as_of: 1.into(),
         targets: Vec::new(),
     };
-    w.core.on_listing(w.now, w.now, listing);
+    w.core.on_listing(w.now, Some(w.now), listing);
     assert_eq!(w.core.directory().listed(), 2);
 }
--- /dev/null
+++ b/tests/testsuite/steering/liveness.rs
@@ -0,0 +1,238 @@
+//! Checks when a target counts as dead, for both errors: too late and wrongly.
+
+use std::net::SocketAddrV4;
+
+use zinniadrift_core::steering::{Cookie, ProbeResult, ResetReason, SegmentKind};
+
+use super::world::{STREAM, World, far_target, flow, forwarded, packet, reset_reason, target};
+
+/// Is a flow with a request at work.
+struct Pending {
+    port: u16,
+    to: SocketAddrV4,
+    cookie: Cookie,
+}
+
+/// Opens flows that each send a request.
+fn start_requests(w: &mut World, ports: std::ops::Range<u16>) -> Vec<Pending> {
+    let start = |port| {
+        let (to, cookie) = w.establish(port, STREAM);
+        forwarded(w.request(port, STREAM, cookie, 1));
+        Pending { port, to, cookie }
+    };
+    ports.map(start).collect()
+}
+
+/// Answers all requests but those of `dead`, and repeats the others.
+fn answer_all_but(w: &mut World, pending: &[Pending], dead: SocketAddrV4) {
+    for p in pending {
+        if p.to == dead {
+            w.request(p.port, STREAM, p.cookie, 1);
+        } else {
+            w.acknowledge(p.port, STREAM, p.cookie, 100);
+        }
+    }
+}
+
+fn probed(w: &mut World) -> Vec<Box<str>> {
+    w.core.take_probes().map(|p| p.name).collect()
+}
+
+/// Returns a balancer with six requests, two of which wait at a target that died.
+fn with_dead_target() -> (World, Vec<Pending>) {
+    let mut w = World::new(1, (1..=3).map(target).collect());
+    let pending = start_requests(&mut w, 0..6);
+    w.wait(200);
+    answer_all_but(&mut w, &pending, target(1).address);
+    (w, pending)
+}
+
+/// Guards against flows that wait for a dead target until the caller's deadline.
+#[test]
+fn flows_of_a_silent_target_are_reset_when_a_probe_fails_too() {
+    for result in [ProbeResult::Refused, ProbeResult::Silent] {
+        let (mut w, pending) = with_dead_target();
+        assert_eq!(probed(&mut w), [target(1).name], "{result}");
+        let abandoned = w.core.on_probe(w.now, &target(1).name, result);
+        let mut reset: Vec<u16> = abandoned.iter().map(|a| a.flow.caller.port()).collect();
+        reset.sort_unstable();
+        let waiting = pending.iter().filter(|p| p.to == target(1).address);
+        assert_eq!(
+            reset,
+            waiting.map(|p| p.port).collect::<Vec<_>>(),
+            "{result}"
+        );
+        assert!(abandoned.iter().all(|a| a.seq == 1));
+        // Flows that were idle learn it with their next packet, and new ones go elsewhere.
+        let cookie = pending
+            .iter()
+            .find(|p| p.to == target(1).address)
+            .unwrap()
+            .cookie;
+        let verdict = w.send(500, STREAM, cookie);
+        assert_eq!(reset_reason(verdict), Some(ResetReason::TargetSilent));
+        for port in 1_000..1_050 {
+            assert_ne!(forwarded(w.open(port, STREAM, 0)), target(1).address);
+        }
+    }
+}
+
+/// Guards against resets of a living target that works slowly.
+#[test]
+fn slow_target_that_accepts_connections_lives() {
+    let (mut w, pending) = with_dead_target();
+    assert_eq!(probed(&mut w).len(), 1);
+    let abandoned = w
+        .core
+        .on_probe(w.now, &target(1).name, ProbeResult::Accepted);
+    assert!(abandoned.is_empty());
+    for p in &pending {
+        assert_eq!(forwarded(w.send(p.port, STREAM, p.cookie)), p.to);
+    }
+}
+
+/// Guards against resets on an answer that came while the probe was on its way.
+#[test]
+fn answer_during_the_probe_counts_more() {
+    let (mut w, pending) = with_dead_target();
+    let late = pending.iter().find(|p| p.to == target(1).address).unwrap();
+    w.acknowledge(late.port, STREAM, late.cookie, 100);
+    let abandoned = w.core.on_probe(w.now, &target(1).name, ProbeResult::Silent);
+    assert!(abandoned.is_empty());
+    assert_eq!(forwarded(w.send(late.port, STREAM, late.cookie)), late.to);
+}
+
+/// Guards against a balancer that is cut off and takes all targets for dead.
+#[test]
+fn balancer_that_hears_nobody_resets_nothing() {
+    let mut w = World::new(1, (1..=3).map(target).collect());
+    let pending = start_requests(&mut w, 0..6);
+    for _ in 0..4 {
+        w.wait(200);
+        for p in &pending {
+            assert_eq!(forwarded(w.request(p.port, STREAM, p.cookie, 1)), p.to);
+        }
+    }
+    let names = probed(&mut w);
+    assert_eq!(names.len(), 3);
+    for name in names {
+        let abandoned = w.core.on_probe(w.now, &name, ProbeResult::Silent);
+        assert!(abandoned.is_empty());
+    }
+    for p in &pending {
+        assert_eq!(forwarded(w.send(p.port, STREAM, p.cookie)), p.to);
+    }
+}
+
+/// Guards against probes for every request that takes longer than a caller's first repeat.
+#[test]
+fn one_repeat_causes_no_probe() {
+    let mut w = World::new(1, (1..=3).map(target).collect());
+    let pending = start_requests(&mut w, 0..3);
+    w.wait(200);
+    for p in &pending {
+        w.request(p.port, STREAM, p.cookie, 1);
+    }
+    assert!(probed(&mut w).is_empty());
+}
+
+/// Guards against probes without a pause.
+#[test]
+fn target_is_probed_once_a_second() {
+    let (mut w, pending) = with_dead_target();
+    let dead = pending.iter().find(|p| p.to == target(1).address).unwrap();
+    let mut probes = probed(&mut w).len();
+    for _ in 0..30 {
+        w.wait(100);
+        w.request(dead.port, STREAM, dead.cookie, 1);
+        probes += probed(&mut w).len();
+    }
+    assert!((3..=4).contains(&probes), "{probes} in 3 s");
+}
+
+/// Guards against a target that stays dead though it answers again.
+#[test]
+fn dead_target_is_probed_until_it_answers() {
+    let (mut w, pending) = with_dead_target();
+    probed(&mut w);
+    w.core.on_probe(w.now, &target(1).name, ProbeResult::Silent);
+    w.pass(1_500);
+    assert_eq!(probed(&mut w), [target(1).name]);
+    w.core
+        .on_probe(w.now, &target(1).name, ProbeResult::Accepted);
+    let p = pending.iter().find(|p| p.to == target(1).address).unwrap();
+    assert_eq!(forwarded(w.send(p.port, STREAM, p.cookie)), p.to);
+    assert!((0..100).any(|i| forwarded(w.open(2_000 + i, STREAM, 0)) == p.to));
+}
+
+/// Guards against probes that could not be made and count as silence.
+#[test]
+fn probe_that_was_not_made_says_nothing() {
+    let (mut w, pending) = with_dead_target();
+    let abandoned = w
+        .core
+        .on_probe(w.now, &target(1).name, ProbeResult::NotMade);
+    assert!(abandoned.is_empty());
+    for p in &pending {
+        assert_eq!(forwarded(w.send(p.port, STREAM, p.cookie)), p.to);
+    }
+}
+
+/// Guards against a caller's reset that is answered by a reset.
+#[test]
+fn callers_reset_for_a_dead_target_is_not_answered() {
+    let (mut w, pending) = with_dead_target();
+    w.core
+        .on_probe(w.now, &target(1).name, ProbeResult::Refused);
+    let p = pending.iter().find(|p| p.to == target(1).address).unwrap();
+    let seg = packet(flow(p.port, STREAM), SegmentKind::Reset, p.cookie);
+    let verdict = w.core.on_segment(w.now, &seg);
+    assert_eq!(reset_reason(verdict), None);
+}
+
+/// Guards against a service that is refused because its only target is taken for dead.
+#[test]
+fn only_target_is_tried_even_if_it_seems_dead() {
+    let mut w = World::new(1, vec![target(1), far_target(2)]);
+    w.remove(2);
+    let pending = start_requests(&mut w, 0..2);
+    w.wait(200);
+    for p in pending.iter().filter(|p| p.to == target(1).address) {
+        w.request(p.port, STREAM, p.cookie, 1);
+    }
+    w.core.on_probe(w.now, &target(1).name, ProbeResult::Silent);
+    assert_eq!(forwarded(w.open(100, STREAM, 0)), target(1).address);
+}
+
+/// Guards against a balancer whose probes cannot get through and that resets the flows of every
+/// target (seen in soak seed 48, whose stand-ins accepted no connections).
+#[test]
+fn most_targets_are_never_taken_for_dead() {
+    let mut w = World::new(1, (1..=5).map(target).collect());
+    let mut dead: Vec<Box<str>> = Vec::new();
+    for round in 0..5 {
+        let pending = start_requests(&mut w, round * 100..round * 100 + 10);
+        w.wait(200);
+        for p in &pending {
+            w.request(p.port, STREAM, p.cookie, 1);
+        }
+        for n in 1..=5 {
+            let instance = target(n);
+            // Some other target that lives answers all the while.
+            for p in pending.iter().filter(|p| p.to != instance.address) {
+                w.request(p.port, STREAM, p.cookie, 50);
+            }
+            w.core.on_probe(w.now, &instance.name, ProbeResult::Refused);
+        }
+        for p in &pending {
+            let verdict = w.send(9_000, STREAM, p.cookie);
+            let name = target(p.to.ip().octets()[3]).name;
+            if reset_reason(verdict).is_some() && !dead.contains(&name) {
+                dead.push(name);
+            }
+        }
+        // Callers give up, so that the living targets have room again.
+        w.pass(6_000);
+    }
+    assert_eq!(dead.len(), 2);
+}
--- a/tests/testsuite/steering/mod.rs
+++ b/tests/testsuite/steering/mod.rs
@@ -3,6 +3,7 @@
 mod configuration;
 mod cookies;
 mod ended_targets;
+mod liveness;
 mod placement;
 mod relays;
 mod watch_loop;
--- a/tests/testsuite/steering/placement.rs
+++ b/tests/testsuite/steering/placement.rs
@@ -125,7 +125,7 @@
         let flows = counts.entry(to).or_default();
         *flows += 1;
         // One flow in ten has a request at work, so that 20 flows fill a target's 2 slots.
-        if *flows % 10 == 0 {
+        if flows.is_multiple_of(10) {
             forwarded(w.request(port, STREAM, cookie, 1));
         }
     }
@@ -336,3 +336,23 @@
     w.pass(6_000);
     forwarded(w.open(200, CERTIFICATE, 0));
 }
+
+/// Guards against new flows that go to a silent target because the others are full (found by
+/// `liveness::most_targets_are_never_taken_for_dead`).
+#[test]
+fn silent_target_is_no_way_out_of_a_burst() {
+    let mut w = World::new(1, (1..=2).map(target).collect());
+    let silent = forwarded(w.open(0, STREAM, 0));
+    w.wait(200);
+    forwarded(w.open(0, STREAM, 1));
+    for port in 1..40 {
+        let verdict = w.open(port, STREAM, 0);
+        if reset_reason(verdict).is_none() {
+            assert_ne!(forwarded(verdict), silent, "flow {port}");
+            let cookie = super::world::marked(verdict);
+            forwarded(w.request(port, STREAM, cookie, 1));
+        }
+    }
+    let refused = reset_reason(w.open(50, STREAM, 0));
+    assert_eq!(refused, Some(ResetReason::Overloaded));
+}
--- a/tests/testsuite/steering/watch_loop.rs
+++ b/tests/testsuite/steering/watch_loop.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use zinniadrift_core::steering::{
-    CallFault, RelayChoice, Revision, StoreStep, WatchLoop, WatchSettings,
+    CallFault, RelayChoice, Revision, StoreNeed, StoreStep, WatchLoop, WatchSettings,
 };
 use zinniadrift_core::units::MonoTime;
 
@@ -17,6 +17,7 @@
     WatchSettings {
         watch_wait: Duration::from_secs(4),
         gather: Duration::from_millis(400),
+        relay_patience: Duration::from_millis(300),
         retry_min: Duration::from_millis(100),
         retry_max: Duration::from_secs(1),
     }
@@ -25,7 +26,7 @@
 fn listed(revision: u64) -> WatchLoop {
     let mut watch = WatchLoop::new(settings());
     assert_eq!(
-        watch.next_step(at(0), true, NONE),
+        watch.next_step(at(0), StoreNeed::NoRelay, NONE),
         StoreStep::List { stale: true }
     );
     watch.on_answer(at(0), revision.into(), false);
@@ -43,9 +44,15 @@
 #[test]
 fn one_list_then_watches() {
     let mut watch = listed(7);
-    assert_eq!(watch.next_step(at(1), true, NONE), watching(7));
+    assert_eq!(
+        watch.next_step(at(1), StoreNeed::NoRelay, NONE),
+        watching(7)
+    );
     watch.on_answer(at(2), 9.into(), false);
-    assert_eq!(watch.next_step(at(3), true, NONE), watching(9));
+    assert_eq!(
+        watch.next_step(at(3), StoreNeed::NoRelay, NONE),
+        watching(9)
+    );
 }
 
 /// Guards against a call for each of many changes that come close together.
@@ -54,26 +61,35 @@
     let mut watch = listed(7);
     watch.on_answer(at(100), 8.into(), true);
     assert_eq!(
-        watch.next_step(at(100), true, NONE),
+        watch.next_step(at(100), StoreNeed::NoRelay, NONE),
         StoreStep::Pause(at(500))
     );
-    assert_eq!(watch.next_step(at(500), true, NONE), watching(8));
+    assert_eq!(
+        watch.next_step(at(500), StoreNeed::NoRelay, NONE),
+        watching(8)
+    );
 }
 
 /// Guards against calls of a balancer that a relay keeps current.
 #[test]
 fn relayed_balancer_makes_no_call() {
     let watch = listed(7);
-    assert_eq!(watch.next_step(at(1), false, NONE), StoreStep::Rest);
+    assert_eq!(
+        watch.next_step(at(1), StoreNeed::None, NONE),
+        StoreStep::Rest
+    );
     // When the relay is lost, the watch begins after what the relay told.
-    assert_eq!(watch.next_step(at(2), true, 40.into()), watching(40));
+    assert_eq!(
+        watch.next_step(at(2), StoreNeed::NoRelay, 40.into()),
+        watching(40)
+    );
 }
 
 /// Guards against a newcomer that waits for a relay.
 #[test]
 fn newcomer_lists_at_once() {
     let watch = WatchLoop::new(settings());
-    let step = watch.next_step(at(0), false, NONE);
+    let step = watch.next_step(at(0), StoreNeed::None, NONE);
     assert_eq!(step, StoreStep::List { stale: true });
 }
 
@@ -82,7 +98,7 @@
 fn dropped_history_is_followed_by_a_current_list() {
     let mut watch = listed(7);
     watch.on_fault(at(10), CallFault::Compacted);
-    let step = watch.next_step(at(10), true, NONE);
+    let step = watch.next_step(at(10), StoreNeed::NoRelay, NONE);
     assert_eq!(step, StoreStep::List { stale: false });
 }
 
@@ -92,7 +108,7 @@
     let mut watch = listed(7);
     watch.on_fault(at(10), CallFault::Compacted);
     watch.on_fault(at(10), CallFault::Compacted);
-    let step = watch.next_step(at(10), true, NONE);
+    let step = watch.next_step(at(10), StoreNeed::NoRelay, NONE);
     assert!(matches!(step, StoreStep::Pause(_)), "{step:?}");
 }
 
@@ -109,7 +125,7 @@
         let mut pauses = Vec::new();
         for _ in 0..6 {
             watch.on_fault(now, fault);
-            let StoreStep::Pause(until) = watch.next_step(now, true, NONE) else {
+            let StoreStep::Pause(until) = watch.next_step(now, StoreNeed::NoRelay, NONE) else {
                 panic!("no pause after {fault}");
             };
             pauses.push(until.since(now).as_millis());
@@ -117,7 +133,7 @@
         }
         assert_eq!(pauses, [100, 200, 400, 800, 1_000, 1_000], "{fault}");
         watch.on_answer(now, 8.into(), false);
-        assert_eq!(watch.next_step(now, true, NONE), watching(8));
+        assert_eq!(watch.next_step(now, StoreNeed::NoRelay, NONE), watching(8));
     }
 }
 
@@ -126,7 +142,7 @@
 fn restart_lists_again() {
     let mut watch = listed(7);
     watch.restart(at(50));
-    let step = watch.next_step(at(50), true, NONE);
+    let step = watch.next_step(at(50), StoreNeed::NoRelay, NONE);
     assert_eq!(step, StoreStep::List { stale: false });
 }
 
@@ -134,12 +150,12 @@
 #[test]
 fn outdated_relay_is_left() {
     let mut choice = RelayChoice::new(3, 1, false);
-    assert!(choice.needs_store());
+    assert_eq!(choice.store_need(), StoreNeed::NoRelay);
     assert_eq!(choice.relay(), Some(1));
     choice.on_answer(Duration::from_secs(1));
-    assert!(!choice.needs_store());
+    assert_eq!(choice.store_need(), StoreNeed::None);
     choice.on_answer(Duration::from_secs(7));
-    assert!(choice.needs_store());
+    assert_eq!(choice.store_need(), StoreNeed::NoRelay);
     assert_eq!(choice.relay(), Some(2));
 }
 
@@ -149,7 +165,7 @@
     let mut choice = RelayChoice::new(3, 2, false);
     choice.on_answer(Duration::ZERO);
     choice.on_fault();
-    assert!(choice.needs_store());
+    assert_eq!(choice.store_need(), StoreNeed::NoRelay);
     assert_eq!(choice.relay(), Some(0));
 }
 
@@ -158,6 +174,39 @@
 fn relay_watches_the_store_itself() {
     let mut choice = RelayChoice::new(2, 0, true);
     choice.on_answer(Duration::ZERO);
-    assert!(choice.needs_store());
+    assert_eq!(choice.store_need(), StoreNeed::Relay);
     assert_eq!(RelayChoice::new(0, 5, false).relay(), None);
 }
+
+fn confirming(from: u64) -> StoreStep {
+    StoreStep::Watch {
+        from: from.into(),
+        wait: Duration::ZERO,
+    }
+}
+
+/// Guards against a relay whose first list stays unconfirmed until something changes.
+#[test]
+fn relay_confirms_a_stale_list_at_once() {
+    let mut watch = WatchLoop::new(settings());
+    watch.on_stale_list(at(0), 7.into());
+    assert_eq!(
+        watch.next_step(at(0), StoreNeed::Relay, NONE),
+        confirming(7)
+    );
+    watch.on_answer(at(5), 7.into(), false);
+    assert_eq!(watch.next_step(at(5), StoreNeed::Relay, NONE), watching(7));
+}
+
+/// Guards against calls of newcomers that a relay is about to answer.
+#[test]
+fn newcomer_gives_relays_a_moment() {
+    let mut watch = WatchLoop::new(settings());
+    watch.on_stale_list(at(0), 7.into());
+    let step = watch.next_step(at(0), StoreNeed::NoRelay, NONE);
+    assert_eq!(step, StoreStep::Pause(at(300)));
+    assert_eq!(
+        watch.next_step(at(300), StoreNeed::NoRelay, NONE),
+        confirming(7)
+    );
+}
--- a/tests/testsuite/steering/world.rs
+++ b/tests/testsuite/steering/world.rs
@@ -164,7 +164,7 @@
     pub(super) fn list(&mut self, targets: Vec<TargetInstance>) {
         let as_of = self.next_revision();
         let listing = DirectoryListing { as_of, targets };
-        self.core.on_listing(self.now, self.now, listing);
+        self.core.on_listing(self.now, Some(self.now), listing);
     }
 
     /// Gives the balancer changes of the store.
@@ -190,7 +190,8 @@
 
     pub(super) fn configure(&mut self, version: u64, routes: Vec<Route>) {
         let as_of = self.next_revision();
-        self.core.on_routes(self.now, as_of, table(version, routes));
+        let table = table(version, routes);
+        self.core.on_routes(self.now, Some(self.now), as_of, table);
     }
 
     /// Lets time pass with the store answering all the while.
