--- a/crates/zinniadrift-runtime/src/steering/peer_task.rs
+++ b/crates/zinniadrift-runtime/src/steering/peer_task.rs
@@ -6,7 +6,7 @@
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
-use zinniadrift_core::steering::{PeerUpdate, RelayChoice, StoreNeed};
+use zinniadrift_core::steering::{KnownState, PeerUpdate, RelayChoice, StoreNeed};
 use zinniadrift_store::{HttpTransport, StoreError};
 
 use super::input::{Input, StateMark};
@@ -19,6 +19,9 @@
 /// The pause after a relay did not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// The same for a newcomer, which takes no packets before it knows something.
+const NEWCOMER_PAUSE: Duration = Duration::from_millis(30);
+
 /// Asks relays for news.
 pub(super) struct PeerTask {
     /// All relays; this balancer's own address is skipped.
@@ -66,12 +69,19 @@
         relay: SocketAddr,
         choice: &mut RelayChoice,
     ) {
+        let known = self.mark.borrow().known;
+        // A newcomer has nothing to wait for: a relay that does not answer at once is passed over.
+        let wait = if known == KnownState::default() {
+            Duration::ZERO
+        } else {
+            NEWS_WAIT
+        };
         let question = PeerQuestion {
-            known: self.mark.borrow().known,
-            wait_ms: u64::try_from(NEWS_WAIT.as_millis()).unwrap_or(u64::MAX),
+            known,
+            wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
         };
         let before = choice.store_need();
-        let answer = ask(transport, relay, question).await;
+        let answer = ask(transport, relay, question, wait + ANSWER_LIMIT).await;
         let age = match &answer {
             Ok(update) => {
                 let age = update.directory_age.max(update.routes_age);
@@ -97,6 +107,7 @@
                 .send(Input::Peer(Box::new(update)))
                 .await
                 .unwrap_or_default(),
+            Err(_) if wait.is_zero() => tokio::time::sleep(NEWCOMER_PAUSE).await,
             Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
         }
     }
@@ -106,6 +117,7 @@
     transport: &HttpTransport,
     relay: SocketAddr,
     question: PeerQuestion,
+    limit: Duration,
 ) -> Result<PeerUpdate, StoreError> {
     let unreadable = |e: &dyn std::fmt::Display| StoreError::Unavailable {
         reason: e.to_string().into(),
@@ -114,7 +126,7 @@
     let uri = format!("http://{relay}{NEWS_PATH}");
     let req = Request::post(uri).body(Full::new(body.into()));
     let req = req.map_err(|e| unreadable(&e))?;
-    let (status, body) = transport.call(req, NEWS_WAIT + ANSWER_LIMIT).await?;
+    let (status, body) = transport.call(req, limit).await?;
     if status != StatusCode::OK {
         return Err(StoreError::Refused {
             status: status.as_u16(),
