--- a/tests/testsuite/metrics.rs
+++ b/tests/testsuite/metrics.rs
@@ -1,16 +1,15 @@
 //! Checks that docs/metrics.md describes exactly the metrics that the daemons send.
 
-use zinniadrift_runtime::metrics::all_metrics;
+use zinniadrift_runtime::metrics::{Metric, all_metrics, edge_metrics};
 
 const PAGE: &str = include_str!("../../docs/metrics.md");
 
 /// Guards the page against metrics that were added, renamed or removed.
 #[test]
 fn page_lists_every_metric() {
-    let expected: Vec<String> = all_metrics()
-        .iter()
-        .map(|m| format!("| `{}` | {} | {} | {} |", m.name, m.kind, m.unit, m.meaning))
-        .collect();
+    let row = |m: &Metric| format!("| `{}` | {} | {} | {} |", m.name, m.kind, m.unit, m.meaning);
+    let all = all_metrics().into_iter().chain(edge_metrics());
+    let expected: Vec<String> = all.map(|m| row(&m)).collect();
     let rows = PAGE.lines().filter(|l| l.starts_with("| `"));
     let listed: Vec<&str> = rows.collect();
     let wanted = expected.join("\n");
@@ -20,7 +19,8 @@
 /// Guards statsd, which cannot tell two metrics of one name apart.
 #[test]
 fn names_are_unique() {
-    let mut names: Vec<&str> = all_metrics().iter().map(|m| m.name).collect();
+    let all = all_metrics().into_iter().chain(edge_metrics());
+    let mut names: Vec<&str> = all.map(|m| m.name).collect();
     let count = names.len();
     names.sort_unstable();
     names.dedup();
