--- /dev/null
+++ b/crates/zinniadrift-core/src/steering/knowledge_input.rs
@@ -0,0 +1,183 @@
+use std::sync::Arc;
+
+use crate::units::MonoTime;
+use crate::units::Version;
+
+use super::cookie::TargetTag;
+use super::{
+    Decision, DirectoryListing, KnownState, PeerUpdate, Revision, RouteTable, Steering,
+    TargetChange, TargetNews,
+};
+
+impl Steering {
+    /// Takes a full list of the targets that was true at `confirmed`.
+    ///
+    /// Without that time the list may be seconds old; it is used, but no ground for refusals.
+    pub fn on_listing(
+        &mut self,
+        now: MonoTime,
+        confirmed: Option<MonoTime>,
+        listing: DirectoryListing,
+    ) {
+        let Some(news) = self.directory.replace(listing, now) else {
+            return;
+        };
+        match confirmed {
+            Some(at) => self.directory_known.confirm(at),
+            None => self.directory_known.learn(now),
+        }
+        self.note_changes(&news);
+    }
+
+    /// Takes changes of the list of targets up to `as_of`, which was the newest at `confirmed`.
+    pub fn on_changes(
+        &mut self,
+        now: MonoTime,
+        confirmed: MonoTime,
+        changes: Vec<TargetChange>,
+        as_of: Revision,
+    ) {
+        if as_of < self.directory.as_of() {
+            return;
+        }
+        let news = self.directory.apply(changes, as_of, now);
+        self.directory_known.confirm(confirmed);
+        self.note_changes(&news);
+    }
+
+    /// Takes the news of a peer.
+    pub fn on_peer_update(&mut self, now: MonoTime, update: PeerUpdate) {
+        let directory_at = now - update.directory_age;
+        match update.targets {
+            TargetNews::All(listing) => self.on_listing(now, Some(directory_at), listing),
+            TargetNews::Changes(changes) => {
+                self.on_changes(now, directory_at, changes, update.known.targets);
+            }
+        }
+        let routes_at = now - update.routes_age;
+        let routes = Arc::clone(&self.routes);
+        match update.routes.and_then(|delta| delta.apply(&routes)) {
+            Some(table) => {
+                self.on_routes(now, Some(routes_at), update.known.routes, Arc::new(table));
+            }
+            None if update.known.version == routes.version() => {
+                self.confirm_routes(routes_at, update.known.routes);
+            }
+            None => {}
+        }
+    }
+
+    /// Returns what this balancer knows, to ask a peer for the rest.
+    pub fn known(&self) -> KnownState {
+        KnownState {
+            targets: self.directory.as_of(),
+            routes: self.routes_as_of,
+            version: self.routes.version(),
+        }
+    }
+
+    /// Returns what a peer that knows `known` misses; `None` while this balancer knows nothing.
+    pub fn update_for(&self, now: MonoTime, known: KnownState) -> Option<PeerUpdate> {
+        let directory_age = self.directory_known.age(now)?;
+        let routes_age = self.routes_known.age(now)?;
+        let targets = match self.directory.changes_since(known.targets) {
+            Some(changes) => TargetNews::Changes(changes),
+            None => TargetNews::All(self.directory.listing()),
+        };
+        Some(PeerUpdate {
+            known: self.known(),
+            directory_age,
+            routes_age,
+            targets,
+            routes: self.route_history.delta(known.version),
+        })
+    }
+
+    fn note_changes(&mut self, news: &[TargetChange]) {
+        let as_of = self.directory.as_of();
+        for change in news {
+            self.note_change(change, as_of);
+        }
+    }
+
+    fn note_change(&mut self, change: &TargetChange, directory: Revision) {
+        if let TargetChange::Put(instance) = change {
+            self.note(Decision::Target {
+                target: instance.name.clone(),
+                service: instance.service,
+                address: instance.address,
+                state: match instance.state {
+                    super::InstanceState::Ready => "ready",
+                    super::InstanceState::Draining => "draining",
+                },
+                directory,
+            });
+        }
+        if let TargetChange::Removed(name) = change {
+            let index = self.directory.find(TargetTag::from_name(name));
+            let Some(record) = index.and_then(|i| self.directory.get(i)) else {
+                return;
+            };
+            let decision = Decision::Target {
+                target: name.clone(),
+                service: record.instance.service,
+                address: record.instance.address,
+                state: "removed",
+                directory,
+            };
+            self.note(decision);
+        }
+    }
+
+    /// Takes the configuration of the store's revision `as_of`, the newest at `confirmed`.
+    ///
+    /// A lower version than the one in force is ignored.
+    pub fn on_routes(
+        &mut self,
+        now: MonoTime,
+        confirmed: Option<MonoTime>,
+        as_of: Revision,
+        table: Arc<RouteTable>,
+    ) {
+        if table.version() < self.routes.version() {
+            return;
+        }
+        if table.version() > self.routes.version() {
+            self.put_in_force(table);
+        }
+        self.routes_known.learn(now);
+        match confirmed {
+            Some(at) => self.confirm_routes(at, as_of),
+            None => self.routes_as_of = self.routes_as_of.max(as_of),
+        }
+    }
+
+    fn put_in_force(&mut self, table: Arc<RouteTable>) {
+        self.note(Decision::Configured {
+            version: table.version(),
+            routes: table.len(),
+        });
+        self.profiles
+            .retain(|address, _| table.get(*address).is_some());
+        self.route_history.push(Arc::clone(&table));
+        self.routes = table;
+    }
+
+    /// Records that the configuration in force is the newest up to `as_of`.
+    ///
+    /// Before the first configuration there is nothing to confirm.
+    pub fn confirm_routes(&mut self, confirmed: MonoTime, as_of: Revision) {
+        if self.routes.version() == Version::default() {
+            return;
+        }
+        self.routes_as_of = self.routes_as_of.max(as_of);
+        self.routes_known.confirm(confirmed);
+    }
+
+    /// Records that the process stood still, so that its knowledge may be outdated.
+    pub fn on_pause(&mut self, now: MonoTime) {
+        self.directory_known.doubt();
+        self.routes_known.doubt();
+        self.next_sweep = now;
+    }
+}
--- /dev/null
+++ b/crates/zinniadrift-core/src/steering/open_flows.rs
@@ -0,0 +1,136 @@
+use std::time::Duration;
+
+use crate::units::MonoTime;
+
+use super::cookie::TargetTag;
+use super::directory::TargetIndex;
+use super::target_state::{Presence, TargetRecord};
+use super::{Cookie, DropReason, Knowledge, ResetReason, Segment, SegmentKind, Steering, Verdict};
+
+impl Steering {
+    pub(super) fn on_flow_packet(&mut self, now: MonoTime, seg: &Segment) -> Verdict {
+        if self.routes.get(seg.flow.service).is_none() {
+            self.flows.end(&mut self.directory, &seg.flow);
+            return self.without_route(now, seg);
+        }
+        if seg.cookie == Cookie::NONE {
+            return Verdict::Drop(DropReason::NoCookie);
+        }
+        let tag = seg.cookie.open(seg.flow.service);
+        let Some(index) = self.directory.find(tag) else {
+            return self.unknown_cookie(now, seg, tag);
+        };
+        if let Some(reason) = self.directory.get(index).and_then(end_of) {
+            self.end_flow(seg);
+            return match seg.kind {
+                SegmentKind::Reset => Verdict::Drop(DropReason::NothingToReset),
+                _ => reset(seg, reason),
+            };
+        }
+        if self.directory.get(index).is_some_and(may_live) {
+            self.counters.forwarded_lapsed += 1;
+        }
+        self.observe(now, seg, index);
+        self.forward(seg, index)
+    }
+
+    pub(super) fn without_route(&mut self, now: MonoTime, seg: &Segment) -> Verdict {
+        let since = self.unknown_routes.since(seg.flow.service, now);
+        let margin = match seg.kind {
+            SegmentKind::Open { .. } => Duration::ZERO,
+            // Another balancer may have opened the flow on a route that is not known here yet.
+            _ => self.cfg.lapse_grace,
+        };
+        if seg.kind == SegmentKind::Reset {
+            return Verdict::Drop(DropReason::NothingToReset);
+        }
+        if self.confirmed_after(&self.routes_known, now, since + margin) {
+            return reset(seg, ResetReason::NoRoute);
+        }
+        Verdict::Drop(DropReason::RouteUnknown)
+    }
+
+    fn unknown_cookie(&mut self, now: MonoTime, seg: &Segment, tag: TargetTag) -> Verdict {
+        if seg.kind == SegmentKind::Reset {
+            return Verdict::Drop(DropReason::NothingToReset);
+        }
+        let since = self.unknown_tags.since(tag, now);
+        let certain = since + self.cfg.lapse_grace;
+        if self.confirmed_after(&self.directory_known, now, certain) {
+            return reset(seg, ResetReason::UnknownCookie);
+        }
+        Verdict::Drop(DropReason::DirectoryStale)
+    }
+
+    /// Tells whether `known` is fresh and was confirmed after `at`.
+    fn confirmed_after(&self, known: &Knowledge, now: MonoTime, at: MonoTime) -> bool {
+        known
+            .age(now)
+            .is_some_and(|age| age <= self.cfg.fresh_for && now >= at + age)
+    }
+
+    fn observe(&mut self, now: MonoTime, seg: &Segment, index: TargetIndex) {
+        match seg.kind {
+            SegmentKind::Close | SegmentKind::Reset => self.end_flow(seg),
+            _ => {
+                let answered = self.flows.pass(&mut self.directory, now, seg, index);
+                if answered {
+                    self.note_answer(now, index);
+                } else {
+                    self.ask_for_probe(now, index);
+                }
+            }
+        }
+    }
+
+    fn note_answer(&mut self, now: MonoTime, index: TargetIndex) {
+        self.last_answer = now;
+        if let Some(record) = self.directory.get(index)
+            && record.instance.zone != self.cfg.zone
+        {
+            self.zones.note_answer(&record.instance.zone);
+        }
+    }
+
+    fn end_flow(&mut self, seg: &Segment) {
+        let ended = self.flows.close(&mut self.directory, &seg.flow);
+        let profile = self.profiles.get_mut(&seg.flow.service);
+        if let (Some(flow), Some(profile)) = (ended, profile) {
+            profile.learn(flow);
+        }
+    }
+
+    pub(super) fn forward(&self, seg: &Segment, index: TargetIndex) -> Verdict {
+        let Some(record) = self.directory.get(index) else {
+            return Verdict::Drop(DropReason::DirectoryStale);
+        };
+        let tag = TargetTag::from_name(&record.instance.name);
+        Verdict::Forward {
+            to: record.instance.address,
+            guard: record.instance.guard,
+            cookie: Cookie::seal(tag, seg.flow.service),
+        }
+    }
+}
+
+pub(super) fn reset(seg: &Segment, reason: ResetReason) -> Verdict {
+    Verdict::Reset {
+        seq: seg.ack,
+        reason,
+    }
+}
+
+/// Returns why flows of the target end, if they do.
+fn end_of(record: &TargetRecord) -> Option<ResetReason> {
+    if matches!(record.presence, Presence::Gone { .. }) {
+        return Some(ResetReason::TargetGone);
+    }
+    record
+        .liveness
+        .is_dead()
+        .then_some(ResetReason::TargetSilent)
+}
+
+pub(super) fn may_live(record: &TargetRecord) -> bool {
+    matches!(record.presence, Presence::Lapsed { .. })
+}
--- /dev/null
+++ b/crates/zinniadrift-core/src/steering/probing.rs
@@ -0,0 +1,94 @@
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use crate::flow::FlowKey;
+use crate::units::MonoTime;
+
+use super::directory::TargetIndex;
+use super::{Decision, ProbeResult, Steering};
+
+/// Asks for a probe of a target.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TargetProbe {
+    /// The target's name.
+    pub name: Box<str>,
+    /// Where to connect to.
+    pub address: SocketAddrV4,
+}
+
+/// Is a flow to reset because its target is dead.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AbandonedFlow {
+    /// The flow.
+    pub flow: FlowKey,
+    /// A sequence number that the caller accepts.
+    pub seq: u32,
+}
+
+/// The time without an answer from any target after which the balancer itself may be cut off.
+///
+/// On the smallest site a balancer sees an answer every 20 ms.
+const CUT_OFF_AFTER: Duration = Duration::from_millis(500);
+/// The number of probes that wait to be made.
+const PROBE_CAPACITY: usize = 16;
+
+impl Steering {
+    /// Asks for a probe of a target whose callers repeat their packets.
+    pub(super) fn ask_for_probe(&mut self, now: MonoTime, index: TargetIndex) {
+        let Some(record) = self.directory.get_mut(index) else {
+            return;
+        };
+        if record.liveness.wants_probe(now) && self.probes.len() < PROBE_CAPACITY {
+            self.probes.push(TargetProbe {
+                name: record.instance.name.clone(),
+                address: record.instance.address,
+            });
+        }
+    }
+
+    /// Takes the probes to make.
+    pub fn take_probes(&mut self) -> impl Iterator<Item = TargetProbe> + '_ {
+        self.probes.drain(..)
+    }
+
+    /// Takes the result of a probe and returns the flows to reset.
+    ///
+    /// A probe that fails while this balancer hears from no target at all says nothing about the
+    /// target: the balancer itself may be cut off. Nor do probes that fail for most targets of a
+    /// service: then it is rather the probes that cannot get through.
+    pub fn on_probe(
+        &mut self,
+        now: MonoTime,
+        name: &str,
+        result: ProbeResult,
+    ) -> Vec<AbandonedFlow> {
+        let Some(index) = self.directory.find_name(name) else {
+            return Vec::new();
+        };
+        let cut_off = now.since(self.last_answer) > CUT_OFF_AFTER;
+        let doubtful = cut_off || self.directory.is_mostly_dead_without(index);
+        let result = match result {
+            ProbeResult::Refused | ProbeResult::Silent if doubtful => ProbeResult::NotMade,
+            other => other,
+        };
+        let Some(record) = self.directory.get_mut(index) else {
+            return Vec::new();
+        };
+        let died = record.liveness.on_probe(result);
+        let dead = record.liveness.is_dead();
+        self.note(Decision::Probed {
+            target: name.into(),
+            result,
+            dead,
+        });
+        if !died {
+            return Vec::new();
+        }
+        let abandoned = self.flows.abandon(&mut self.directory, index);
+        self.counters.reset_target_silent += abandoned.len() as u64;
+        let abandoned = abandoned.into_iter();
+        abandoned
+            .map(|(flow, seq)| AbandonedFlow { flow, seq })
+            .collect()
+    }
+}
