Wait for proof before a removed target counts as gone

Cause: a draining target whose entry was removed counted as gone at once; but the entry can have expired in an outage of the store while the target still serves, and a reset then breaks an open flow.

--- a/crates/zinniadrift-core/src/steering/directory.rs
+++ b/crates/zinniadrift-core/src/steering/directory.rs
@@ -9,7 +9,7 @@
 use super::change_log::ChangeLog;
 use super::cookie::TargetTag;
 use super::target_state::{Presence, TargetRecord};
-use super::{DirectoryListing, InstanceState, Revision, TargetInstance};
+use super::{DirectoryListing, Revision, TargetInstance};
 
 /// Is one change of the store's list of targets.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -177,11 +177,8 @@
         if record.presence != Presence::Listed {
             return;
         }
-        // A target that announced its end left the store because it ended.
-        record.presence = match record.instance.state {
-            InstanceState::Draining => Presence::Gone { at: now },
-            InstanceState::Ready => Presence::Lapsed { at: now },
-        };
+        // Even a target that announced its end may live: its entry can have expired in an outage.
+        record.presence = Presence::Lapsed { at: now };
     }
 
     /// Ends the uncertainty about lapsed targets and forgets targets that ended long ago.
--- a/crates/zinniadrift-core/src/steering/knowledge_input.rs
+++ b/crates/zinniadrift-core/src/steering/knowledge_input.rs
@@ -126,6 +126,9 @@
                 directory,
             };
             self.note(decision);
+            if let Some(index) = index {
+                self.ask_after_removal(index);
+            }
         }
     }
 
--- a/crates/zinniadrift-core/src/steering/probing.rs
+++ b/crates/zinniadrift-core/src/steering/probing.rs
@@ -5,6 +5,7 @@
 use crate::units::MonoTime;
 
 use super::directory::TargetIndex;
+use super::target_state::Presence;
 use super::{Decision, ProbeResult, Steering};
 
 /// Asks for a probe of a target.
@@ -46,6 +47,21 @@
         }
     }
 
+    /// Asks for a probe of a target that is missing in the store and has flows of this balancer.
+    ///
+    /// A host that refuses the connection settles at once that the target has ended.
+    pub(super) fn ask_after_removal(&mut self, index: TargetIndex) {
+        let Some(record) = self.directory.get(index) else {
+            return;
+        };
+        if record.flows > 0 && self.probes.len() < PROBE_CAPACITY {
+            self.probes.push(TargetProbe {
+                name: record.instance.name.clone(),
+                address: record.instance.address,
+            });
+        }
+    }
+
     /// Takes the probes to make.
     pub fn take_probes(&mut self) -> impl Iterator<Item = TargetProbe> + '_ {
         self.probes.drain(..)
@@ -67,15 +83,20 @@
         };
         let cut_off = now.since(self.last_answer) > CUT_OFF_AFTER;
         let doubtful = cut_off || self.directory.is_mostly_dead_without(index);
-        let result = match result {
+        let judged = match result {
             ProbeResult::Refused | ProbeResult::Silent if doubtful => ProbeResult::NotMade,
             other => other,
         };
         let Some(record) = self.directory.get_mut(index) else {
             return Vec::new();
         };
-        let died = record.liveness.on_probe(result);
-        let dead = record.liveness.is_dead();
+        let is_lapsed = matches!(record.presence, Presence::Lapsed { .. });
+        let has_ended = is_lapsed && result == ProbeResult::Refused;
+        if has_ended {
+            record.presence = Presence::Gone { at: now };
+        }
+        let died = record.liveness.on_probe(judged) || has_ended;
+        let dead = record.liveness.is_dead() || has_ended;
         self.note(Decision::Probed {
             target: name.into(),
             result,
