--- a/crates/zinniadrift-lab/src/experiments/policies/mod.rs
+++ b/crates/zinniadrift-lab/src/experiments/policies/mod.rs
@@ -1,6 +1,7 @@
 //! Holds the policies that are compared on the same seeds.
 
 mod baseline;
+mod cookie;
 mod core_group;
 mod flow_policy;
 mod hash;
@@ -15,6 +16,7 @@
 pub(crate) use flow_policy::FlowPolicy;
 
 use baseline::Baseline;
+use cookie::Cookie;
 use hash::Hash;
 use jet::Jet;
 use keeper::Keeper;
@@ -29,6 +31,7 @@
     "maglev",
     "jet",
     "keeper",
+    "cookie",
     "default-no-balance",
     "default-tight",
 ];
@@ -48,6 +51,7 @@
         "hash" => Box::new(Baseline::new(Hash)),
         "maglev" => Box::new(Baseline::new(Maglev::default())),
         "jet" => Box::new(Baseline::new(Jet::default())),
+        "cookie" => Box::new(Baseline::new(Cookie::default())),
         "keeper" => Box::new(Baseline::new(Keeper::default())),
         _ => Box::new(CoreGroup::start(user, seed)),
     }
--- a/tests/testsuite/experiments.rs
+++ b/tests/testsuite/experiments.rs
@@ -104,6 +104,20 @@
     jet_breaks_flows: "jet";
 }
 
+/// Guards the comparison in docs/design.md: flows whose packets name their target need no state.
+#[test]
+fn cookies_keep_flows_without_state() {
+    let lines = flows::measure("cookie", 11, SMALL);
+    for name in [
+        "broken_planned",
+        "broken_balancer_death",
+        "state_bytes",
+        "control_bytes_per_s",
+    ] {
+        assert_eq!(figure(&lines, name), 0.0, "{name}");
+    }
+}
+
 #[test]
 fn runs_with_equal_seeds_are_equal() {
     // Iteration over hash maps or a wall clock makes runs differ.
