Notice suspended hosts, and leave full lists to the store

The boot clock tells. A newcomer asked a relay for everything while the store's list was on its way; it now waits 80 ms for the list.

--- a/crates/zinniadrift-runtime/src/daemon/run_clock.rs
+++ b/crates/zinniadrift-runtime/src/daemon/run_clock.rs
@@ -1,5 +1,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use nix::time::{ClockId, clock_gettime};
+
 use zinniadrift_core::ids::Incarnation;
 use zinniadrift_core::units::MonoTime;
 
@@ -29,6 +31,20 @@
         MonoTime::default() + self.unix_start + self.started.elapsed()
     }
 
+    /// Returns the time for which the host was suspended since its start; this clock leaves it out.
+    ///
+    /// A host without a boot clock shows no suspension.
+    pub fn suspended() -> Duration {
+        let read = |clock| clock_gettime(clock).map(Duration::from);
+        match (
+            read(ClockId::CLOCK_BOOTTIME),
+            read(ClockId::CLOCK_MONOTONIC),
+        ) {
+            (Ok(boot), Ok(steady)) => boot.saturating_sub(steady),
+            _ => Duration::ZERO,
+        }
+    }
+
     /// Returns the number of this run; a later run of the same daemon has a higher one.
     pub fn incarnation(&self) -> Incarnation {
         let micros = u64::try_from(self.unix_start.as_micros()).unwrap_or(u64::MAX);
--- a/crates/zinniadrift-runtime/src/steering/driver.rs
+++ b/crates/zinniadrift-runtime/src/steering/driver.rs
@@ -7,7 +7,7 @@
 use tokio::task::{JoinError, JoinSet};
 use tokio_util::sync::CancellationToken;
 
-use zinniadrift_core::steering::{AbandonedFlow, ProbeResult, Steering, Verdict};
+use zinniadrift_core::steering::{AbandonedFlow, PauseWatch, ProbeResult, Steering, Verdict};
 use zinniadrift_core::units::MonoTime;
 
 use super::decision_log::DecisionLog;
@@ -23,8 +23,6 @@
 const BATCH: usize = 64;
 /// The largest datagram that is read; longer ones are no packets.
 const MAX_DATAGRAM: usize = 2_048;
-/// The time without a turn of the loop from which the process counts as paused.
-const PAUSE: Duration = Duration::from_millis(1_500);
 
 /// Moves packets between the socket and the core.
 pub(super) struct Driver<B> {
@@ -55,8 +53,9 @@
         let mut buf = vec![0_u8; MAX_DATAGRAM];
         let mut out = Vec::with_capacity(MAX_DATAGRAM);
         let mut leaving_since: Option<MonoTime> = None;
-        let mut last_turn = self.clock.now();
-        let mut last_packet = last_turn;
+        let start = self.clock.now();
+        let mut pauses = PauseWatch::start(start, RunClock::suspended());
+        let mut last_packet = start;
         loop {
             let tick = self.clock.instant(self.steering.next_tick());
             tokio::select! {
@@ -66,7 +65,7 @@
                         return;
                     }
                     let now = self.clock.now();
-                    self.notice_pause(now, last_turn);
+                    self.notice_pause(now, &mut pauses);
                     last_packet = now;
                     self.drain_socket(now, &mut buf, &mut out);
                 }
@@ -82,30 +81,30 @@
                 }
                 () = tokio::time::sleep_until(tick) => {
                     let now = self.clock.now();
-                    self.notice_pause(now, last_turn);
+                    self.notice_pause(now, &mut pauses);
                     self.steering.tick(now);
                 }
             }
-            last_turn = self.clock.now();
-            self.flush_log(last_turn);
+            let now = self.clock.now();
+            pauses.end_turn(now);
+            self.flush_log(now);
             self.start_probes();
             let Some(since) = leaving_since else {
                 self.update_readiness();
                 continue;
             };
-            let left = last_turn.since(since);
-            let quiet = left >= LEAVE_MIN && last_turn.since(last_packet) >= QUIET;
+            let left = now.since(since);
+            let quiet = left >= LEAVE_MIN && now.since(last_packet) >= QUIET;
             if quiet || left >= self.stop_within {
                 return;
             }
         }
     }
 
-    fn notice_pause(&mut self, now: MonoTime, last_turn: MonoTime) {
-        let gap = now.since(last_turn);
-        if gap < PAUSE {
+    fn notice_pause(&mut self, now: MonoTime, pauses: &mut PauseWatch) {
+        let Some(gap) = pauses.turn(now, RunClock::suspended()) else {
             return;
-        }
+        };
         let ms = u64::try_from(gap.as_millis()).unwrap_or(u64::MAX);
         tracing::warn!(gap_ms = ms, "process was paused; knowledge is read again");
         self.counters.pauses += 1;
--- a/crates/zinniadrift-runtime/src/steering/peer_task.rs
+++ b/crates/zinniadrift-runtime/src/steering/peer_task.rs
@@ -22,6 +22,10 @@
 /// The same for a newcomer, which takes no packets before it knows something.
 const NEWCOMER_PAUSE: Duration = Duration::from_millis(30);
 
+/// How long a newcomer waits for the store's first list; the store answers within 10 ms, and a slow
+/// processor needs some more.
+const LIST_PATIENCE: Duration = Duration::from_millis(80);
+
 /// Asks relays for news.
 pub(super) struct PeerTask {
     /// All relays; this balancer's own address is skipped.
@@ -40,6 +44,7 @@
     /// Runs until the process stops.
     pub(super) async fn run(mut self) {
         let transport = HttpTransport::new();
+        self.wait_for_first_list().await;
         loop {
             let all = self.relays.borrow_and_update().clone();
             let is_relay = self.own.is_some_and(|own| all.contains(&own));
@@ -63,6 +68,13 @@
         }
     }
 
+    /// Waits a moment for the store's first list, so that relays need not send everything.
+    async fn wait_for_first_list(&mut self) {
+        let known = self.mark.wait_for(|m| m.known != KnownState::default());
+        // Without the list the relays are asked for everything.
+        let _listed = tokio::time::timeout(LIST_PATIENCE, known).await;
+    }
+
     async fn ask_once(
         &self,
         transport: &HttpTransport,
--- a/tests/testsuite/steering/ended_targets.rs
+++ b/tests/testsuite/steering/ended_targets.rs
@@ -1,6 +1,6 @@
 //! Checks when a target counts as gone, and what happens to its flows.
 
-use zinniadrift_core::steering::{ProbeResult, ResetReason, TargetChange, Verdict};
+use zinniadrift_core::steering::{PauseWatch, ProbeResult, ResetReason, TargetChange, Verdict};
 
 use super::world::{STREAM, World, draining, forwarded, reset_reason, target};
 
@@ -211,3 +211,22 @@
     w.core.on_listing(w.now, Some(w.now), listing);
     assert_eq!(w.core.directory().listed(), 2);
 }
+
+/// Guards against a stopped process, a suspended host and a busy loop that are taken for each other.
+#[test]
+fn pauses_are_noticed_on_both_clocks() {
+    let at = zinniadrift_core::units::MonoTime::from_millis;
+    let ms = std::time::Duration::from_millis;
+    let mut watch = PauseWatch::start(at(0), ms(70));
+    assert_eq!(watch.turn(at(500), ms(70)), None);
+    // A host that was suspended: its steady clock went on as if nothing had been.
+    assert_eq!(watch.turn(at(600), ms(5_070)), Some(ms(5_100)));
+    assert_eq!(watch.turn(at(1_100), ms(5_070)), None);
+    // A process that was stopped.
+    assert_eq!(watch.turn(at(5_100), ms(5_070)), Some(ms(4_000)));
+    // A turn that took long itself.
+    watch.end_turn(at(8_000));
+    assert_eq!(watch.turn(at(8_400), ms(5_070)), None);
+    // Clocks that are read one after the other.
+    assert_eq!(watch.turn(at(8_900), ms(5_071)), None);
+}
