Notice a pause before any event is handled

Cause: after a stop of the process, a first event other than a packet or a tick moved the time of the last turn on, and the pause was missed (found by reading). Every event now ends one wait, and the pause is looked for before it is handled.

--- a/crates/zinniadrift-runtime/src/steering/driver.rs
+++ b/crates/zinniadrift-runtime/src/steering/driver.rs
@@ -24,6 +24,15 @@
 /// The largest datagram that is read; longer ones are no packets.
 const MAX_DATAGRAM: usize = 2_048;
 
+/// Is what ends one wait of the driver.
+enum Event {
+    Readable(std::io::Result<()>),
+    Input(Input),
+    Probed(Result<(Box<str>, ProbeResult), JoinError>),
+    Leave,
+    Tick,
+}
+
 /// Moves packets between the socket and the core.
 pub(super) struct Driver<B> {
     pub(super) border: watch::Receiver<Arc<B>>,
@@ -57,33 +66,31 @@
         let mut pauses = PauseWatch::start(start, RunClock::suspended());
         let mut last_packet = start;
         loop {
-            let tick = self.clock.instant(self.steering.next_tick());
-            tokio::select! {
-                result = self.socket.readable() => {
-                    if let Err(e) = result {
-                        tracing::error!(error = %e, "packet socket failed");
-                        return;
-                    }
-                    let now = self.clock.now();
-                    self.notice_pause(now, &mut pauses);
+            let event = self.next_event(leaving_since.is_none()).await;
+            let now = self.clock.now();
+            if let Some(gap) = pauses.turn(now, RunClock::suspended()) {
+                self.on_pause(now, gap);
+            }
+            match event {
+                Event::Readable(Ok(())) => {
                     last_packet = now;
                     self.drain_socket(now, &mut buf, &mut out);
                 }
-                Some(input) = self.inputs.recv() => {
+                Event::Readable(Err(e)) => {
+                    tracing::error!(error = %e, "packet socket failed");
+                    return;
+                }
+                Event::Input(input) => {
                     self.take(input);
                     self.release_held(&mut out);
                 }
-                Some(done) = self.probes.join_next() => self.take_probe(done, &mut out),
-                () = self.leave.cancelled(), if leaving_since.is_none() => {
+                Event::Probed(done) => self.take_probe(done, &mut out),
+                Event::Leave => {
                     tracing::info!("leaving: reported as not ready, still forwarding");
-                    leaving_since = Some(self.clock.now());
+                    leaving_since = Some(now);
                     self.ready.send_replace(false);
                 }
-                () = tokio::time::sleep_until(tick) => {
-                    let now = self.clock.now();
-                    self.notice_pause(now, &mut pauses);
-                    self.steering.tick(now);
-                }
+                Event::Tick => self.steering.tick(now),
             }
             let now = self.clock.now();
             pauses.end_turn(now);
@@ -101,10 +108,18 @@
         }
     }
 
-    fn notice_pause(&mut self, now: MonoTime, pauses: &mut PauseWatch) {
-        let Some(gap) = pauses.turn(now, RunClock::suspended()) else {
-            return;
-        };
+    async fn next_event(&mut self, may_leave: bool) -> Event {
+        let tick = self.clock.instant(self.steering.next_tick());
+        tokio::select! {
+            result = self.socket.readable() => Event::Readable(result),
+            Some(input) = self.inputs.recv() => Event::Input(input),
+            Some(done) = self.probes.join_next() => Event::Probed(done),
+            () = self.leave.cancelled(), if may_leave => Event::Leave,
+            () = tokio::time::sleep_until(tick) => Event::Tick,
+        }
+    }
+
+    fn on_pause(&mut self, now: MonoTime, gap: Duration) {
         let ms = u64::try_from(gap.as_millis()).unwrap_or(u64::MAX);
         tracing::warn!(gap_ms = ms, "process was paused; knowledge is read again");
         self.counters.pauses += 1;
--- a/tests/testsuite/edge_processes.rs
+++ b/tests/testsuite/edge_processes.rs
@@ -123,6 +123,27 @@
     w.stop(true).await;
 }
 
+/// Guards against knowledge that is used as if it were current after the process stood still,
+/// whatever the first event after it is (the pause was missed unless that was a packet or a tick).
+#[tokio::test]
+async fn stopped_process_reads_everything_again() {
+    let w = world(8, 1, 1).await;
+    let started = |w: &World| log_of(&w.balancers[0]).contains("balancer started");
+    until("the process runs", || started(&w)).await;
+    for round in 1..=3 {
+        w.balancers[0].signal(Signal::SIGSTOP);
+        sleep(Duration::from_millis(2_500)).await;
+        w.balancers[0].signal(Signal::SIGCONT);
+        let pauses = |w: &World| {
+            log_of(&w.balancers[0])
+                .matches("process was paused")
+                .count()
+        };
+        until("the pause is noticed", || pauses(&w) >= round).await;
+    }
+    w.stop(true).await;
+}
+
 /// Guards against a newcomer that the store refuses and that therefore takes no packets.
 #[tokio::test]
 async fn newcomer_learns_from_a_relay() {
