Tidy probes, stand-ins and constants after a read-through

A removed target is looked up by its name, so that of two targets with one tag the right one is probed; flows that end with it count as target-gone.

--- a/crates/zinniadrift-core/src/steering/knowledge_input.rs
+++ b/crates/zinniadrift-core/src/steering/knowledge_input.rs
@@ -1,12 +1,10 @@
 use std::sync::Arc;
 
-use crate::units::MonoTime;
-use crate::units::Version;
+use crate::units::{MonoTime, Version};
 
-use super::cookie::TargetTag;
 use super::{
-    Decision, DirectoryListing, KnownState, PeerUpdate, Revision, RouteTable, Steering,
-    TargetChange, TargetNews,
+    Decision, DirectoryListing, InstanceState, KnownState, PeerUpdate, Revision, RouteTable,
+    Steering, TargetChange, TargetNews,
 };
 
 impl Steering {
@@ -107,14 +105,14 @@
                 service: instance.service,
                 address: instance.address,
                 state: match instance.state {
-                    super::InstanceState::Ready => "ready",
-                    super::InstanceState::Draining => "draining",
+                    InstanceState::Ready => "ready",
+                    InstanceState::Draining => "draining",
                 },
                 directory,
             });
         }
         if let TargetChange::Removed(name) = change {
-            let index = self.directory.find(TargetTag::from_name(name));
+            let index = self.directory.find_name(name);
             let Some(record) = index.and_then(|i| self.directory.get(i)) else {
                 return;
             };
--- a/crates/zinniadrift-core/src/steering/probing.rs
+++ b/crates/zinniadrift-core/src/steering/probing.rs
@@ -6,7 +6,7 @@
 
 use super::directory::TargetIndex;
 use super::target_state::Presence;
-use super::{Decision, ProbeResult, Steering};
+use super::{Decision, ProbeResult, ResetReason, Steering};
 
 /// Asks for a probe of a target.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -36,14 +36,9 @@
 impl Steering {
     /// Asks for a probe of a target whose callers repeat their packets.
     pub(super) fn ask_for_probe(&mut self, now: MonoTime, index: TargetIndex) {
-        let Some(record) = self.directory.get_mut(index) else {
-            return;
-        };
-        if record.liveness.wants_probe(now) && self.probes.len() < PROBE_CAPACITY {
-            self.probes.push(TargetProbe {
-                name: record.instance.name.clone(),
-                address: record.instance.address,
-            });
+        let record = self.directory.get_mut(index);
+        if record.is_some_and(|r| r.liveness.wants_probe(now)) {
+            self.push_probe(index);
         }
     }
 
@@ -51,10 +46,17 @@
     ///
     /// A host that refuses the connection settles at once that the target has ended.
     pub(super) fn ask_after_removal(&mut self, index: TargetIndex) {
+        let record = self.directory.get(index);
+        if record.is_some_and(|r| r.flows > 0) {
+            self.push_probe(index);
+        }
+    }
+
+    fn push_probe(&mut self, index: TargetIndex) {
         let Some(record) = self.directory.get(index) else {
             return;
         };
-        if record.flows > 0 && self.probes.len() < PROBE_CAPACITY {
+        if self.probes.len() < PROBE_CAPACITY {
             self.probes.push(TargetProbe {
                 name: record.instance.name.clone(),
                 address: record.instance.address,
@@ -106,7 +108,12 @@
             return Vec::new();
         }
         let abandoned = self.flows.abandon(&mut self.directory, index);
-        self.counters.reset_target_silent += abandoned.len() as u64;
+        let reason = if has_ended {
+            ResetReason::TargetGone
+        } else {
+            ResetReason::TargetSilent
+        };
+        *self.counters.reset_mut(reason) += abandoned.len() as u64;
         let abandoned = abandoned.into_iter();
         abandoned
             .map(|(flow, seq)| AbandonedFlow { flow, seq })
--- a/crates/zinniadrift-runtime/src/steering/front.rs
+++ b/crates/zinniadrift-runtime/src/steering/front.rs
@@ -25,6 +25,8 @@
 
 /// The time for the head of a request; the callers are probes and peers nearby.
 const HEAD_LIMIT: Duration = Duration::from_secs(5);
+/// The pause after a connection could not be accepted, as when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// The open connections a listener; probes, peers and a collector need a few each.
 const MAX_CONNECTIONS: usize = 64;
 
@@ -98,7 +100,7 @@
             Ok((stream, _)) => stream,
             Err(e) => {
                 tracing::warn!(error = %e, "cannot accept a connection");
-                tokio::time::sleep(Duration::from_millis(100)).await;
+                tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
         };
