--- /dev/null
+++ b/tests/testsuite/edge_store.rs
@@ -0,0 +1,55 @@
+//! Checks the client of the users' store against its stand-in.
+
+use std::net::SocketAddr;
+
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+use zinniadrift_edge::StoreClient;
+use zinniadrift_runtime::steering::{Feed, Update};
+use zinniadrift_stand_ins::Store;
+
+async fn serve(store: &Store) -> (SocketAddr, CancellationToken) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let stop = CancellationToken::new();
+    tokio::spawn(store.clone().serve(listener, stop.clone()));
+    (address, stop)
+}
+
+fn server(n: u32) -> Value {
+    json!({
+        "service": "gradebook", "address": format!("10.0.0.1:{n}"), "zone": "lowell",
+        "version": "v1", "slots": 2, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
+    })
+}
+
+/// Guards against lists that end early, or cannot go on, at entries of other writers with odd
+/// names at the end of a page.
+#[tokio::test]
+async fn list_goes_on_after_odd_names() {
+    for odd in [
+        "i-00000000 &after=x",
+        "i-00000000%zz",
+        "i-00000000/#?",
+        "i-00000000ü",
+    ] {
+        let store = Store::new();
+        // With one odd name between them, the pages of 50 end at it and at a usual one.
+        for n in 1..=49 {
+            store.put("servers", &format!("h-{n:08x}"), &server(n));
+        }
+        store.put("servers", &format!("{odd}~"), &json!("not an entry"));
+        for n in 100..200 {
+            store.put("servers", &format!("j-{n:08x}"), &server(n));
+        }
+        let (address, stop) = serve(&store).await;
+        let answer = StoreClient::new(address).list(Feed::Targets, false).await;
+        let Some(Update::Listing(listing)) = answer.unwrap().update else {
+            panic!("no listing");
+        };
+        assert_eq!(listing.targets.len(), 149, "{odd}");
+        stop.cancel();
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod edge_decoders;
 mod edge_processes;
 mod edge_soak;
+mod edge_store;
 mod experiments;
 mod flows;
 mod flows_reports;
