--- a/tests/testsuite/edge_processes.rs
+++ b/tests/testsuite/edge_processes.rs
@@ -226,7 +226,7 @@
     );
     // Packets to the closed port are lost; the first that arrives must be answered.
     let ready = w.net.at(Net::balancer(0), Net::READINESS);
-    until_listening(front, ready).await;
+    until_listening(ready).await;
     socket.send_to(&syn.encode(), front).await.unwrap();
     let mut buf = [0; 2_048];
     let (len, _) = timeout(PATIENCE, socket.recv_from(&mut buf))
@@ -239,7 +239,7 @@
 }
 
 /// Waits until the balancer's sockets are open: the packet socket opens before the readiness one.
-async fn until_listening(_front: std::net::SocketAddrV4, ready: std::net::SocketAddrV4) {
+async fn until_listening(ready: std::net::SocketAddrV4) {
     let deadline = Instant::now() + PATIENCE;
     while TcpStream::connect(ready).await.is_err() {
         assert!(Instant::now() < deadline, "not listening");
@@ -263,7 +263,7 @@
         .spawn()
         .unwrap();
     let ready = w.net.at(Net::balancer(0), Net::READINESS);
-    until_listening(ready, ready).await;
+    until_listening(ready).await;
     // Each flow is a line, and each packet without a cookie another.
     let flood = UdpSocket::bind(w.net.caller(9)).await.unwrap();
     let front = w.net.at(Net::balancer(0), Net::PACKETS);
