Follow a failed store call by a short one

The store was silent from 4.4 to 8.9 s: it took connections and never answered. The watches of all three relays failed at 8.24 s.

Ruled out: a peer that confirmed an old version (the logs of all balancers show no confirmation before 13.75 s); loss of the connection to the store (new calls of concord-hall-2, short because unconfirmed, were answered at 9.79 s).

The new test fails without the change.

--- a/crates/zinniadrift-core/src/steering/watch_loop.rs
+++ b/crates/zinniadrift-core/src/steering/watch_loop.rs
@@ -108,7 +108,9 @@
             },
             Some(from) => StoreStep::Watch {
                 from,
-                wait: if self.confirmed {
+                // A store that failed may take a call and never answer; the answer to a call
+                // without a wait is missed sooner.
+                wait: if self.confirmed && self.failures == 0 {
                     self.cfg.watch_wait
                 } else {
                     Duration::ZERO
--- a/tests/testsuite/steering/watch_loop.rs
+++ b/tests/testsuite/steering/watch_loop.rs
@@ -137,6 +137,21 @@
     }
 }
 
+/// Guards against a long wait at a store that takes calls and never answers: a change right after
+/// its return was in force 4 s late (glag-ore mix --seed 412175982773, rule CONFIG).
+#[test]
+fn failed_call_is_followed_by_a_short_one() {
+    for fault in [CallFault::Refused, CallFault::NoAnswer] {
+        let mut watch = listed(7);
+        watch.on_fault(at(0), fault);
+        let step = watch.next_step(at(100), StoreNeed::Relay, NONE);
+        assert_eq!(step, confirming(7), "{fault}");
+        watch.on_answer(at(110), 8.into(), false);
+        let step = watch.next_step(at(110), StoreNeed::Relay, NONE);
+        assert_eq!(step, watching(8));
+    }
+}
+
 /// Guards against knowledge that is not read again after the process stood still.
 #[test]
 fn restart_lists_again() {
