Make the first store call after a rest a short one

Cause: a balancer that loses its relay begins a watch of 4 s. Whatever took the relay away may have made the store silent, and a silent store takes the call and never answers; that was noticed after 5.2 s.

--- a/crates/zinniadrift-core/src/steering/watch_loop.rs
+++ b/crates/zinniadrift-core/src/steering/watch_loop.rs
@@ -28,6 +28,9 @@
     listed: bool,
     /// Whether an answer was current, so that it may be a ground for refusals.
     confirmed: bool,
+    /// Whether the last call was answered and nothing has come between, so that the next one may
+    /// wait long: a silent store takes a call and never answers, which a short one shows sooner.
+    responsive: bool,
     failures: u32,
     not_before: MonoTime,
 }
@@ -85,6 +88,7 @@
             position: None,
             listed: false,
             confirmed: false,
+            responsive: false,
             failures: 0,
             not_before: MonoTime::default(),
         }
@@ -93,8 +97,9 @@
     /// Returns the next call.
     ///
     /// `known` is the revision up to which peers have told everything.
-    pub fn next_step(&self, now: MonoTime, need: StoreNeed, known: Revision) -> StoreStep {
+    pub fn next_step(&mut self, now: MonoTime, need: StoreNeed, known: Revision) -> StoreStep {
         if self.position.is_some() && need == StoreNeed::None {
+            self.responsive = false;
             return StoreStep::Rest;
         }
         // A relay confirms its first list at once; the others wait for a relay to do so.
@@ -108,9 +113,7 @@
             },
             Some(from) => StoreStep::Watch {
                 from,
-                // A store that failed may take a call and never answer; the answer to a call
-                // without a wait is missed sooner.
-                wait: if self.confirmed && self.failures == 0 {
+                wait: if self.confirmed && self.responsive {
                     self.cfg.watch_wait
                 } else {
                     Duration::ZERO
@@ -132,12 +135,14 @@
         self.failures = 0;
         self.listed = true;
         self.confirmed = true;
+        self.responsive = true;
         self.position = self.position.max(Some(as_of));
         self.not_before = if changed { now + self.cfg.gather } else { now };
     }
 
     /// Records a failed call.
     pub fn on_fault(&mut self, now: MonoTime, fault: CallFault) {
+        self.responsive = false;
         if fault == CallFault::Compacted {
             self.position = None;
             if self.failures == 0 {
@@ -156,9 +161,4 @@
         self.position = None;
         self.not_before = now;
     }
-
-    /// Tells whether the last call failed, so that a peer may know more.
-    pub const fn is_failing(&self) -> bool {
-        self.failures > 0
-    }
 }
