Let balancers get their news through a tree of peers

Cause: each of three relays answered a third of all balancers.

A balancer now answers 16 peers and refers the others to these, within their availability zone if possible. A confirmation of the store is passed on at once, so that a step in the tree adds no age.

They now wait for the lists of both feeds, one second at most, or until a call fails.

--- a/crates/zinniadrift-core/src/steering/knowledge.rs
+++ b/crates/zinniadrift-core/src/steering/knowledge.rs
@@ -70,6 +70,11 @@
         self.since
     }
 
+    /// Returns when the state was last confirmed.
+    pub const fn confirmed(&self) -> Option<MonoTime> {
+        self.confirmed
+    }
+
     /// Returns the time since the last confirmation.
     pub fn age(&self, now: MonoTime) -> Option<Duration> {
         self.confirmed.map(|at| now.since(at))
--- a/crates/zinniadrift-core/src/steering/knowledge_input.rs
+++ b/crates/zinniadrift-core/src/steering/knowledge_input.rs
@@ -91,6 +91,15 @@
         })
     }
 
+    /// Returns when the store last confirmed all that this balancer knows; `None` if it did not.
+    pub fn confirmed(&self) -> Option<MonoTime> {
+        let (a, b) = (
+            self.directory_known.confirmed(),
+            self.routes_known.confirmed(),
+        );
+        a.zip(b).map(|(a, b)| a.min(b))
+    }
+
     fn note_changes(&mut self, news: &[TargetChange]) {
         let as_of = self.directory.as_of();
         for change in news {
--- a/crates/zinniadrift-runtime/src/metrics/metric.rs
+++ b/crates/zinniadrift-runtime/src/metrics/metric.rs
@@ -2,7 +2,9 @@
 
 use super::balancer_metrics::{BALANCER_GAUGES, CORE_COUNTERS, PACKET_COUNTERS};
 use super::gateway_metrics::{GATEWAY_COUNTERS, GATEWAY_GAUGES};
-use crate::steering::{DRIVER_COUNTERS, HISTOGRAMS, STATE_GAUGES, STEERING_COUNTERS};
+use crate::steering::{
+    DRIVER_COUNTERS, DRIVER_GAUGES, HISTOGRAMS, STATE_GAUGES, STEERING_COUNTERS,
+};
 
 use super::reporter::{PEER_COUNTERS, TIMELINE_DROPPED};
 
@@ -80,7 +82,12 @@
     let core = STEERING_COUNTERS.iter().map(|(m, _)| *m);
     let driver = DRIVER_COUNTERS.iter().map(|(m, _)| *m);
     let gauges = STATE_GAUGES.iter().map(|(m, _)| *m);
-    core.chain(driver).chain(gauges).chain(HISTOGRAMS).collect()
+    let own_gauges = DRIVER_GAUGES.iter().map(|(m, _)| *m);
+    core.chain(driver)
+        .chain(gauges)
+        .chain(own_gauges)
+        .chain(HISTOGRAMS)
+        .collect()
 }
 
 /// Returns every metric that a daemon may send.
--- a/crates/zinniadrift-runtime/src/steering/daemon.rs
+++ b/crates/zinniadrift-runtime/src/steering/daemon.rs
@@ -1,16 +1,17 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use parking_lot::Mutex;
 use snafu::ResultExt;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 use xxhash_rust::xxh3::xxh3_64;
 
-use zinniadrift_core::steering::{Steering, StoreNeed};
+use zinniadrift_core::steering::{FanOut, Steering, StoreNeed};
 
 use super::decision_log::DecisionLog;
 use super::driver::Driver;
@@ -61,6 +62,8 @@
     let (ready, ready_rx) = watch::channel(false);
 
     let histograms = EdgeHistograms::new();
+    let store_failed = Arc::new(Notify::new());
+    let fan_out = Arc::new(Mutex::new(FanOut::new(FanOut::PLACES)));
     for feed in [Feed::Targets, Feed::Routes] {
         let task = FeedTask {
             border: border.clone(),
@@ -70,6 +73,7 @@
             inputs: inputs_tx.clone(),
             mark: mark_rx.clone(),
             need: need.clone(),
+            failed: Arc::clone(&store_failed),
             histograms: histograms.clone(),
             stop: stop.clone(),
         };
@@ -78,9 +82,11 @@
     let peers = PeerTask {
         relays,
         own: cfg.peer,
-        first: xxh3_64(cfg.name.as_bytes()) as usize,
+        zone: cfg.steering.zone.clone(),
+        spread: xxh3_64(cfg.name.as_bytes()) as usize,
         mark: mark_rx.clone(),
         inputs: inputs_tx.clone(),
+        store_failed,
         need: need_tx,
         stop: stop.clone(),
     };
@@ -90,6 +96,8 @@
         let service = PeerService {
             mark: mark_rx,
             inputs: inputs_tx.clone(),
+            clock,
+            fan_out: Arc::clone(&fan_out),
         };
         tasks.spawn(serve_peers(listener, service, stop.clone()));
     }
@@ -123,6 +131,7 @@
         mark,
         inputs,
         held: HeldDatagrams::default(),
+        fan_out,
         leave,
         stop_within: cfg.stop_within,
         log: DecisionLog::default(),
--- a/crates/zinniadrift-runtime/src/steering/driver.rs
+++ b/crates/zinniadrift-runtime/src/steering/driver.rs
@@ -2,12 +2,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use parking_lot::Mutex;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinError, JoinSet};
 use tokio_util::sync::CancellationToken;
 
-use zinniadrift_core::steering::{AbandonedFlow, PauseWatch, ProbeResult, Steering, Verdict};
+use zinniadrift_core::steering::{
+    AbandonedFlow, FanOut, PauseWatch, ProbeResult, Steering, Verdict,
+};
 use zinniadrift_core::units::MonoTime;
 
 use super::decision_log::DecisionLog;
@@ -43,6 +46,8 @@
     pub(super) mark: watch::Sender<StateMark>,
     pub(super) inputs: mpsc::Receiver<Input>,
     pub(super) held: HeldDatagrams,
+    /// The places of peers, for the metrics.
+    pub(super) fan_out: Arc<Mutex<FanOut>>,
     pub(super) leave: CancellationToken,
     pub(super) stop_within: Duration,
     pub(super) log: DecisionLog,
@@ -247,10 +252,12 @@
     fn publish_mark(&self) {
         let known = self.steering.known();
         let changed = self.steering.directory().changed();
+        let confirmed = self.steering.confirmed();
         self.mark.send_if_modified(|mark| {
             let new = StateMark {
                 known,
                 changed,
+                confirmed,
                 ..*mark
             };
             std::mem::replace(mark, new) != new
@@ -268,12 +275,13 @@
     }
 
     fn metrics(&self) -> String {
+        let now = self.clock.now();
         let counters = DriverCounters {
             held_too_long: self.held.dropped(),
             lines_suppressed: self.log.suppressed(),
+            peers_answered: self.fan_out.lock().taken(now) as u64,
             ..self.counters
         };
-        let now = self.clock.now();
         let text = self.histograms.render(&self.steering, &counters, now);
         text.unwrap_or_else(|e| {
             tracing::error!(error = %e, "cannot write the metrics");
--- a/crates/zinniadrift-runtime/src/steering/driver_counters.rs
+++ b/crates/zinniadrift-runtime/src/steering/driver_counters.rs
@@ -1,4 +1,4 @@
-/// Counts what the driver itself does with datagrams and log lines.
+/// Counts what the driver and its tasks do outside the core.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct DriverCounters {
     pub(crate) received: u64,
@@ -7,4 +7,6 @@
     pub(crate) held_too_long: u64,
     pub(crate) pauses: u64,
     pub(crate) lines_suppressed: u64,
+    /// The peers that have a place here now.
+    pub(crate) peers_answered: u64,
 }
--- a/crates/zinniadrift-runtime/src/steering/edge_metrics.rs
+++ b/crates/zinniadrift-runtime/src/steering/edge_metrics.rs
@@ -191,6 +191,15 @@
     ),
 ];
 
+pub(crate) const DRIVER_GAUGES: [DriverCounter; 1] = [(
+    Metric::gauge(
+        "peers_answered",
+        "peers",
+        "peers that get their news from this balancer; bounded by 16 places",
+    ),
+    |c| c.peers_answered,
+)];
+
 pub(crate) const STATE_GAUGES: [StateGauge; 7] = [
     (
         Metric::gauge("ready", "0 or 1", "whether routes and targets are known"),
@@ -334,9 +343,10 @@
             .map(|(m, f)| (*m, f(steering.counters())));
         let own = DRIVER_COUNTERS.iter().map(|(m, f)| (*m, f(driver)));
         let gauges = STATE_GAUGES.iter().map(|(m, f)| (*m, f(steering, now)));
+        let own_gauges = DRIVER_GAUGES.iter().map(|(m, f)| (*m, clamp(f(driver))));
         Self {
             counters: core.chain(own).collect(),
-            gauges: gauges.collect(),
+            gauges: gauges.chain(own_gauges).collect(),
         }
     }
 }
--- a/crates/zinniadrift-runtime/src/steering/feed_task.rs
+++ b/crates/zinniadrift-runtime/src/steering/feed_task.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
 use zinniadrift_core::steering::{
@@ -23,6 +23,8 @@
     pub(super) mark: watch::Receiver<StateMark>,
     /// Why the store has to be called.
     pub(super) need: watch::Receiver<StoreNeed>,
+    /// Notified of every failed call.
+    pub(super) failed: Arc<Notify>,
     pub(super) histograms: EdgeHistograms,
     pub(super) stop: CancellationToken,
 }
@@ -95,6 +97,7 @@
             }
             Err(fault) => {
                 watch_loop.on_fault(now, fault);
+                self.failed.notify_one();
                 if !std::mem::replace(failing, true) {
                     tracing::warn!(%feed, cause = %fault, "store call failed");
                 }
--- a/crates/zinniadrift-runtime/src/steering/mod.rs
+++ b/crates/zinniadrift-runtime/src/steering/mod.rs
@@ -11,6 +11,7 @@
 mod front;
 mod held_datagrams;
 mod input;
+mod peer_message;
 mod peer_service;
 mod peer_task;
 mod probe;
@@ -19,6 +20,8 @@
 pub use border::{Border, Feed, FeedAnswer, Update};
 pub use daemon::run_edge;
 pub use edge_metrics::EDGE_METRIC_PREFIX;
-pub(crate) use edge_metrics::{DRIVER_COUNTERS, HISTOGRAMS, STATE_GAUGES, STEERING_COUNTERS};
+pub(crate) use edge_metrics::{
+    DRIVER_COUNTERS, DRIVER_GAUGES, HISTOGRAMS, STATE_GAUGES, STEERING_COUNTERS,
+};
 pub use edge_settings::EdgeSettings;
 pub use reload::EdgeConfig;
--- /dev/null
+++ b/crates/zinniadrift-runtime/src/steering/peer_message.rs
@@ -0,0 +1,26 @@
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use zinniadrift_core::steering::{KnownState, PeerName, PeerUpdate};
+
+/// Asks a peer for what the asking balancer misses.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct PeerQuestion {
+    /// What the asking balancer knows.
+    pub(super) known: KnownState,
+    /// How long the peer may wait for news, in milliseconds.
+    pub(super) wait_ms: u64,
+    /// The asking balancer; a relay and one that answers no peers give no name and are answered
+    /// in any case.
+    pub(super) asker: Option<PeerName>,
+}
+
+/// Answers a [`PeerQuestion`].
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) enum PeerAnswer {
+    /// What the asking balancer misses.
+    News(Box<PeerUpdate>),
+    /// The peers to ask instead.
+    Ask(Vec<SocketAddr>),
+}
--- a/crates/zinniadrift-runtime/src/steering/peer_service.rs
+++ b/crates/zinniadrift-runtime/src/steering/peer_service.rs
@@ -1,16 +1,19 @@
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use serde::{Deserialize, Serialize};
+use parking_lot::Mutex;
 use tokio::sync::{mpsc, oneshot, watch};
 
-use zinniadrift_core::steering::KnownState;
+use zinniadrift_core::steering::{Admission, FanOut, PeerName};
 
 use super::front::{JSON, respond};
 use super::input::{Input, StateMark};
+use super::peer_message::{PeerAnswer, PeerQuestion};
+use crate::daemon::RunClock;
 
 /// Where a balancer asks a peer for news.
 pub(super) const NEWS_PATH: &str = "/steering/news";
@@ -19,24 +22,17 @@
 /// The longest wait that a peer may ask for.
 const MAX_WAIT: Duration = Duration::from_secs(10);
 
-/// Asks a peer for what the asking balancer misses.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
-pub(super) struct PeerQuestion {
-    /// What the asking balancer knows.
-    pub(super) known: KnownState,
-    /// How long the peer may wait for news, in milliseconds.
-    pub(super) wait_ms: u64,
-}
-
 /// Answers the questions of peers.
 #[derive(Clone)]
 pub(super) struct PeerService {
     pub(super) mark: watch::Receiver<StateMark>,
     pub(super) inputs: mpsc::Sender<Input>,
+    pub(super) clock: RunClock,
+    pub(super) fan_out: Arc<Mutex<FanOut>>,
 }
 
 impl PeerService {
-    /// Answers one request: at once if there is news, else after the wait that was asked for.
+    /// Answers one request: at once if there is news or no place, else after the wait asked for.
     pub(super) async fn answer(mut self, req: Request<Incoming>) -> Response<Full<Bytes>> {
         if req.uri().path() != NEWS_PATH {
             return respond(StatusCode::NOT_FOUND, JSON, Vec::new());
@@ -47,8 +43,14 @@
         let Some(question) = question else {
             return respond(StatusCode::BAD_REQUEST, JSON, Vec::new());
         };
+        if let Some(resp) = question.asker.as_ref().and_then(|a| self.refer(a)) {
+            return resp;
+        }
         let wait = Duration::from_millis(question.wait_ms).min(MAX_WAIT);
-        let news = self.mark.wait_for(|m| m.has_news_for(question.known));
+        let confirmed = self.mark.borrow().confirmed;
+        let news = self
+            .mark
+            .wait_for(|m| m.has_news_for(question.known, confirmed));
         // Without news in time the answer still tells how current this balancer is.
         let _waited = tokio::time::timeout(wait, news).await.is_ok();
         let (tx, rx) = oneshot::channel();
@@ -60,12 +62,30 @@
         let Some(update) = update else {
             return respond(StatusCode::SERVICE_UNAVAILABLE, JSON, Vec::new());
         };
-        match serde_json::to_vec(&update) {
-            Ok(text) => respond(StatusCode::OK, JSON, text),
-            Err(e) => {
-                tracing::error!(error = %e, "cannot encode news for a peer");
-                respond(StatusCode::INTERNAL_SERVER_ERROR, JSON, Vec::new())
-            }
+        respond_with(&PeerAnswer::News(Box::new(update)))
+    }
+
+    /// Returns the answer to a peer that has to ask another one.
+    fn refer(&self, asker: &PeerName) -> Option<Response<Full<Bytes>>> {
+        let admission = self.fan_out.lock().admit(self.clock.now(), asker);
+        let Admission::Refer(peers) = admission else {
+            return None;
+        };
+        tracing::debug!(asker = %asker.address, peers = peers.len(), "peer referred to others");
+        let mut resp = respond_with(&PeerAnswer::Ask(peers));
+        // The peer does not come back soon, and connections are few.
+        let close = header::HeaderValue::from_static("close");
+        resp.headers_mut().insert(header::CONNECTION, close);
+        Some(resp)
+    }
+}
+
+fn respond_with(answer: &PeerAnswer) -> Response<Full<Bytes>> {
+    match serde_json::to_vec(answer) {
+        Ok(text) => respond(StatusCode::OK, JSON, text),
+        Err(e) => {
+            tracing::error!(error = %e, "cannot encode an answer to a peer");
+            respond(StatusCode::INTERNAL_SERVER_ERROR, JSON, Vec::new())
         }
     }
 }
--- a/crates/zinniadrift-runtime/src/steering/peer_task.rs
+++ b/crates/zinniadrift-runtime/src/steering/peer_task.rs
@@ -1,40 +1,47 @@
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use http::{Request, StatusCode};
 use http_body_util::Full;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
-use zinniadrift_core::steering::{KnownState, PeerUpdate, RelayChoice, StoreNeed};
+use zinniadrift_core::ids::ZoneName;
+use zinniadrift_core::steering::{KnownState, PeerName, RelayChoice, Revision, StoreNeed};
+use zinniadrift_core::units::Version;
 use zinniadrift_store::{HttpTransport, StoreError};
 
 use super::input::{Input, StateMark};
-use super::peer_service::{NEWS_PATH, PeerQuestion};
+use super::peer_message::{PeerAnswer, PeerQuestion};
+use super::peer_service::NEWS_PATH;
 
-/// How long a relay may wait for news; a relay that went silent is noticed after it.
+/// How long a peer may wait for news; one that went silent is noticed after it.
 const NEWS_WAIT: Duration = Duration::from_millis(1_000);
-/// The time limit beyond the wait; relays answer within milliseconds, slowed ones within tenths.
+/// The time limit beyond the wait; peers answer within milliseconds, slowed ones within tenths.
 const ANSWER_LIMIT: Duration = Duration::from_millis(300);
-/// The pause after a relay did not answer.
+/// The pause after a peer did not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
 /// The same for a newcomer, which takes no packets before it knows something.
 const NEWCOMER_PAUSE: Duration = Duration::from_millis(30);
 
-/// How long a newcomer waits for the store's first list; the store answers within 10 ms, and a slow
-/// processor needs some more.
-const LIST_PATIENCE: Duration = Duration::from_millis(80);
+/// How long a newcomer waits for the store's first lists: those of the planned 3,500 targets take a
+/// second on a link of 10 Mbit/s.
+const LIST_PATIENCE: Duration = Duration::from_millis(1_000);
 
-/// Asks relays for news.
+/// Asks relays, or peers that they refer to, for news.
 pub(super) struct PeerTask {
     /// All relays; this balancer's own address is skipped.
     pub(super) relays: watch::Receiver<Vec<SocketAddr>>,
     pub(super) own: Option<SocketAddr>,
+    pub(super) zone: ZoneName,
     /// Spreads the balancers over the relays.
-    pub(super) first: usize,
+    pub(super) spread: usize,
     pub(super) mark: watch::Receiver<StateMark>,
     pub(super) inputs: mpsc::Sender<Input>,
+    /// Is notified of every failed call to the store.
+    pub(super) store_failed: Arc<Notify>,
     /// Tells the feeds why the store has to be called.
     pub(super) need: watch::Sender<StoreNeed>,
     pub(super) stop: CancellationToken,
@@ -44,21 +51,25 @@
     /// Runs until the process stops.
     pub(super) async fn run(mut self) {
         let transport = HttpTransport::new();
-        self.wait_for_first_list().await;
+        self.wait_for_first_lists().await;
         loop {
             let all = self.relays.borrow_and_update().clone();
             let is_relay = self.own.is_some_and(|own| all.contains(&own));
             let others = all.iter().copied().filter(|r| Some(*r) != self.own);
             let others: Vec<SocketAddr> = others.collect();
-            let mut choice = RelayChoice::new(others.len(), self.first, is_relay);
+            let name = self.own.filter(|_| !is_relay).map(|address| PeerName {
+                address,
+                zone: self.zone.clone(),
+            });
+            let mut choice = RelayChoice::new(others, self.spread, is_relay);
             self.need.send_replace(choice.store_need());
             while !self.relays.has_changed().unwrap_or(true) {
-                let Some(position) = choice.relay() else {
+                let Some(peer) = choice.peer() else {
                     break;
                 };
                 tokio::select! {
                     () = self.stop.cancelled() => return,
-                    () = self.ask_once(&transport, others[position], &mut choice) => {}
+                    () = self.ask_once(&transport, peer, name.clone(), &mut choice) => {}
                 }
             }
             tokio::select! {
@@ -68,17 +79,25 @@
         }
     }
 
-    /// Waits a moment for the store's first list, so that relays need not send everything.
-    async fn wait_for_first_list(&mut self) {
-        let known = self.mark.wait_for(|m| m.known != KnownState::default());
-        // Without the list the relays are asked for everything.
-        let _listed = tokio::time::timeout(LIST_PATIENCE, known).await;
+    /// Waits for the store's first lists, unless a call fails, so that peers on slow links need not
+    /// send everything.
+    async fn wait_for_first_lists(&mut self) {
+        let is_known = |m: &StateMark| {
+            m.known.targets != Revision::ZERO && m.known.version != Version::default()
+        };
+        tokio::select! {
+            // Without the lists peers are asked for everything.
+            _ = self.mark.wait_for(is_known) => {}
+            () = self.store_failed.notified() => {}
+            () = tokio::time::sleep(LIST_PATIENCE) => {}
+        }
     }
 
     async fn ask_once(
         &self,
         transport: &HttpTransport,
-        relay: SocketAddr,
+        peer: SocketAddr,
+        asker: Option<PeerName>,
         choice: &mut RelayChoice,
     ) {
         let known = self.mark.borrow().known;
@@ -91,51 +110,58 @@
         let question = PeerQuestion {
             known,
             wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
+            asker,
         };
         let before = choice.store_need();
-        let answer = ask(transport, relay, question, wait + ANSWER_LIMIT).await;
-        let age = match &answer {
-            Ok(update) => {
-                let age = update.directory_age.max(update.routes_age);
-                choice.on_answer(age);
-                Some(age)
+        let answer = ask(transport, peer, &question, wait + ANSWER_LIMIT).await;
+        let mut age = None;
+        let pause = match &answer {
+            Ok(PeerAnswer::News(update)) => {
+                let oldest = update.directory_age.max(update.routes_age);
+                choice.on_answer(oldest);
+                age = u64::try_from(oldest.as_millis()).ok();
+                Duration::ZERO
+            }
+            Ok(PeerAnswer::Ask(peers)) if choice.on_referral(peers) => Duration::ZERO,
+            Ok(PeerAnswer::Ask(peers)) => {
+                tracing::debug!(%peer, peers = peers.len(), "too many referrals");
+                RETRY_PAUSE
             }
             Err(e) => {
-                tracing::debug!(%relay, error = %e, "relay did not answer");
+                tracing::debug!(%peer, error = %e, "peer did not answer");
                 choice.on_fault();
-                None
+                if wait.is_zero() {
+                    NEWCOMER_PAUSE
+                } else {
+                    RETRY_PAUSE
+                }
             }
         };
         let after = choice.store_need();
         if before != after {
-            let age_ms = age.and_then(|a| u64::try_from(a.as_millis()).ok());
-            tracing::info!(%relay, age_ms, store_need = ?after, "source of news changed");
+            tracing::info!(%peer, age_ms = age, store_need = ?after, "source of news changed");
             self.need.send_replace(after);
         }
-        match answer {
+        if let Ok(PeerAnswer::News(update)) = answer {
             // The driver is gone only when the process stops.
-            Ok(update) => self
-                .inputs
-                .send(Input::Peer(Box::new(update)))
-                .await
-                .unwrap_or_default(),
-            Err(_) if wait.is_zero() => tokio::time::sleep(NEWCOMER_PAUSE).await,
-            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+            let sent = self.inputs.send(Input::Peer(update)).await;
+            sent.unwrap_or_default();
         }
+        tokio::time::sleep(pause).await;
     }
 }
 
 async fn ask(
     transport: &HttpTransport,
-    relay: SocketAddr,
-    question: PeerQuestion,
+    peer: SocketAddr,
+    question: &PeerQuestion,
     limit: Duration,
-) -> Result<PeerUpdate, StoreError> {
+) -> Result<PeerAnswer, StoreError> {
     let unreadable = |e: &dyn std::fmt::Display| StoreError::Unavailable {
         reason: e.to_string().into(),
     };
-    let body = serde_json::to_vec(&question).map_err(|e| unreadable(&e))?;
-    let uri = format!("http://{relay}{NEWS_PATH}");
+    let body = serde_json::to_vec(question).map_err(|e| unreadable(&e))?;
+    let uri = format!("http://{peer}{NEWS_PATH}");
     let req = Request::post(uri).body(Full::new(body.into()));
     let req = req.map_err(|e| unreadable(&e))?;
     let (status, body) = transport.call(req, limit).await?;
--- a/tests/testsuite/edge_processes.rs
+++ b/tests/testsuite/edge_processes.rs
@@ -22,18 +22,23 @@
 const PATIENCE: Duration = Duration::from_secs(60);
 
 async fn world(number: u8, balancers: u8, targets: u8) -> World {
-    let settings = WorldSettings {
+    start_world(WorldSettings {
         number,
-        program: program("zinniadrift-edge"),
         balancers,
         targets,
+        ..WorldSettings::default()
+    })
+    .await
+}
+
+async fn start_world(cfg: WorldSettings) -> World {
+    let settings = WorldSettings {
+        program: program("zinniadrift-edge"),
+        ..cfg
     };
     let mut world = World::start(&settings).await.unwrap();
-    assert!(
-        world
-            .wait_for_rotation(usize::from(balancers), PATIENCE)
-            .await
-    );
+    let balancers = usize::from(settings.balancers);
+    assert!(world.wait_for_rotation(balancers, PATIENCE).await);
     world
 }
 
@@ -178,6 +183,53 @@
     w.stop(true).await;
 }
 
+/// Guards against a relay that answers every balancer itself: beyond 64 connections it answered
+/// none of the rest, and its memory and bytes grew with the fleet.
+#[tokio::test]
+async fn relay_answers_a_bounded_number_of_peers() {
+    let mut w = start_world(WorldSettings {
+        number: 9,
+        balancers: 20,
+        targets: 1,
+        relays: 1,
+        ..WorldSettings::default()
+    })
+    .await;
+    let net = w.net;
+    let metrics = move |n: u8| net.at(Net::balancer(n), Net::METRICS);
+    let mut answered = Vec::new();
+    let deadline = Instant::now() + PATIENCE;
+    while answered.iter().sum::<i64>() < 19 {
+        assert!(Instant::now() < deadline, "{answered:?} of 19 are answered");
+        sleep(Duration::from_millis(200)).await;
+        answered.clear();
+        for n in 0..20 {
+            let text = get(metrics(n), "/metrics").await.unwrap_or_default();
+            answered.push(gauge(&text, "zinniadrift_edge_peers_answered").unwrap_or(0));
+        }
+    }
+    assert!(answered.iter().all(|n| *n <= 16), "{answered:?}");
+    // Whoever is referred gets news as the others do.
+    w.configure(&[ROUTE, "198.18.0.2:443"]);
+    for n in 0..20 {
+        while !get(metrics(n), "/metrics")
+            .await
+            .is_some_and(|text| gauge(&text, "zinniadrift_edge_routes") == Some(2))
+        {
+            assert!(Instant::now() < deadline, "balancer {n} has the old routes");
+            sleep(Duration::from_millis(50)).await;
+        }
+    }
+    w.stop(true).await;
+}
+
+fn gauge(metrics: &str, name: &str) -> Option<i64> {
+    let line = metrics
+        .lines()
+        .find_map(|l| l.strip_prefix(name)?.strip_prefix(' '))?;
+    line.trim().parse().ok()
+}
+
 /// Guards against flows that break or stay unserved while the store is away.
 #[tokio::test]
 async fn callers_do_not_notice_an_outage_of_the_store() {
--- a/tests/testsuite/steering/mod.rs
+++ b/tests/testsuite/steering/mod.rs
@@ -3,6 +3,7 @@
 mod configuration;
 mod cookies;
 mod ended_targets;
+mod fan_out;
 mod liveness;
 mod placement;
 mod relays;
--- a/tests/testsuite/steering/watch_loop.rs
+++ b/tests/testsuite/steering/watch_loop.rs
@@ -1,5 +1,6 @@
 //! Checks which calls to the store a balancer makes.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use zinniadrift_core::steering::{
@@ -167,36 +168,44 @@
     assert_eq!(step, StoreStep::List { stale: false });
 }
 
+fn peer(n: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], n))
+}
+
+fn peers(n: u16) -> Vec<SocketAddr> {
+    (0..n).map(peer).collect()
+}
+
 /// Guards against a balancer that trusts a relay without news from the store.
 #[test]
 fn outdated_relay_is_left() {
-    let mut choice = RelayChoice::new(3, 1, false);
+    let mut choice = RelayChoice::new(peers(3), 1, false);
     assert_eq!(choice.store_need(), StoreNeed::NoRelay);
-    assert_eq!(choice.relay(), Some(1));
+    assert_eq!(choice.peer(), Some(peer(1)));
     choice.on_answer(Duration::from_secs(1));
     assert_eq!(choice.store_need(), StoreNeed::None);
     choice.on_answer(Duration::from_secs(7));
     assert_eq!(choice.store_need(), StoreNeed::NoRelay);
-    assert_eq!(choice.relay(), Some(2));
+    assert_eq!(choice.peer(), Some(peer(2)));
 }
 
 /// Guards against a balancer that stays without news while its relay is away.
 #[test]
 fn silent_relay_is_left() {
-    let mut choice = RelayChoice::new(3, 2, false);
+    let mut choice = RelayChoice::new(peers(3), 2, false);
     choice.on_answer(Duration::ZERO);
     choice.on_fault();
     assert_eq!(choice.store_need(), StoreNeed::NoRelay);
-    assert_eq!(choice.relay(), Some(0));
+    assert_eq!(choice.peer(), Some(peer(0)));
 }
 
 /// Guards against relays that stop watching because another relay is current.
 #[test]
 fn relay_watches_the_store_itself() {
-    let mut choice = RelayChoice::new(2, 0, true);
+    let mut choice = RelayChoice::new(peers(2), 0, true);
     choice.on_answer(Duration::ZERO);
     assert_eq!(choice.store_need(), StoreNeed::Relay);
-    assert_eq!(RelayChoice::new(0, 5, false).relay(), None);
+    assert_eq!(RelayChoice::new(Vec::new(), 5, false).peer(), None);
 }
 
 fn confirming(from: u64) -> StoreStep {
