Leave a peer whose news are older than usual for another one

Cause: a balancer stayed with its peer until the store's last confirmation was six seconds old.

A balancer now leaves a peer as soon as the age exceeds what a working relay shows, and asks all other relays at once. Its question ends when the age reaches that limit.

Ruled out: the third relay, which had the configuration after 20 ms.

--- a/crates/zinniadrift-core/src/steering/relay_choice.rs
+++ b/crates/zinniadrift-core/src/steering/relay_choice.rs
@@ -16,28 +16,47 @@
     /// Spreads the balancers over the peers that a relay refers to.
     spread: usize,
     is_relay: bool,
+    /// The age of a confirmation from which another relay may know more.
+    usual_age: Duration,
     current: bool,
+    /// The age that the last answer told.
+    age: Duration,
+    /// The peers left since one had news as current as usual; the count starts again with every
+    /// question that waits.
+    left: usize,
     referred: Option<SocketAddr>,
     referrals: usize,
 }
 
-/// The age of the store's confirmation from which a peer is no better than the store.
-///
-/// A relay hears from the store at least every four seconds (`watch_wait`) and passes that on at
-/// once; another second is lost on the way if an answer is.
+/// The age of the store's confirmation from which a balancer asks the store itself: then none of
+/// the relays has heard from the store for longer than its watches take.
 const MAX_AGE: Duration = Duration::from_secs(6);
+/// How long a peer may wait for news; one that went silent is noticed after it.
+const NEWS_WAIT: Duration = Duration::from_millis(1_000);
+/// The shortest wait for news, so that an age near the usual one does not cause many questions.
+const MIN_WAIT: Duration = Duration::from_millis(100);
 /// The referrals followed one after the other; a tree of all planned balancers needs three.
 const MAX_REFERRALS: usize = 6;
 
 impl RelayChoice {
     /// Returns the choice among `relays`; `spread` differs between balancers and chooses the first.
-    pub fn new(relays: Vec<SocketAddr>, spread: usize, is_relay: bool) -> Self {
+    ///
+    /// A peer whose news were confirmed longer ago than `usual_age` has probably lost the store.
+    pub fn new(
+        relays: Vec<SocketAddr>,
+        spread: usize,
+        is_relay: bool,
+        usual_age: Duration,
+    ) -> Self {
         Self {
             relays,
             turn: spread,
             spread,
             is_relay,
+            usual_age,
             current: false,
+            age: Duration::ZERO,
+            left: 0,
             referred: None,
             referrals: 0,
         }
@@ -49,12 +68,30 @@
         self.referred.or_else(|| relay().copied())
     }
 
+    /// Returns how long the peer may wait for news before it answers.
+    ///
+    /// After a peer that may have lost the store all other relays are asked at once.
+    pub fn wait(&self) -> Duration {
+        if (1..self.relays.len()).contains(&self.left) {
+            return Duration::ZERO;
+        }
+        // The answer tells whether the peer heard from the store in time.
+        let rest = self.usual_age.saturating_sub(self.age);
+        if rest.is_zero() {
+            return NEWS_WAIT;
+        }
+        rest.clamp(MIN_WAIT, NEWS_WAIT)
+    }
+
     /// Records an answer whose knowledge the store confirmed `age` ago.
     pub fn on_answer(&mut self, age: Duration) {
         self.referrals = 0;
+        self.age = age;
         self.current = age <= MAX_AGE;
-        if !self.current {
+        if age > self.usual_age {
             self.leave_peer();
+        } else {
+            self.left = 0;
         }
     }
 
@@ -84,6 +121,11 @@
     }
 
     fn leave_peer(&mut self) {
+        self.left = if self.left < self.relays.len() {
+            self.left + 1
+        } else {
+            1
+        };
         self.turn = self.turn.wrapping_add(1);
         self.referred = None;
         self.referrals = 0;
--- a/crates/zinniadrift-core/src/steering/settings.rs
+++ b/crates/zinniadrift-core/src/steering/settings.rs
@@ -59,6 +59,17 @@
     pub retry_max: Duration,
 }
 
+/// What a slow store, the way through peers and a slow processor add to the time between two
+/// confirmations.
+const USUAL_DELAY: Duration = Duration::from_millis(800);
+
+impl WatchSettings {
+    /// Returns the age below which knowledge is confirmed again while the store answers.
+    pub fn usual_age(&self) -> Duration {
+        self.watch_wait + USUAL_DELAY
+    }
+}
+
 impl Default for WatchSettings {
     fn default() -> Self {
         Self {
--- a/crates/zinniadrift-runtime/src/steering/daemon.rs
+++ b/crates/zinniadrift-runtime/src/steering/daemon.rs
@@ -84,6 +84,7 @@
         own: cfg.peer,
         zone: cfg.steering.zone.clone(),
         spread: xxh3_64(cfg.name.as_bytes()) as usize,
+        usual_age: cfg.watch.usual_age(),
         mark: mark_rx.clone(),
         inputs: inputs_tx.clone(),
         store_failed,
--- a/crates/zinniadrift-runtime/src/steering/peer_task.rs
+++ b/crates/zinniadrift-runtime/src/steering/peer_task.rs
@@ -16,8 +16,6 @@
 use super::peer_message::{PeerAnswer, PeerQuestion};
 use super::peer_service::NEWS_PATH;
 
-/// How long a peer may wait for news; one that went silent is noticed after it.
-const NEWS_WAIT: Duration = Duration::from_millis(1_000);
 /// The time limit beyond the wait; peers answer within milliseconds, slowed ones within tenths.
 const ANSWER_LIMIT: Duration = Duration::from_millis(300);
 /// The pause after a peer did not answer.
@@ -38,6 +36,8 @@
     pub(super) zone: ZoneName,
     /// Spreads the balancers over the relays.
     pub(super) spread: usize,
+    /// The age of a confirmation from which a peer has probably lost the store.
+    pub(super) usual_age: Duration,
     pub(super) mark: watch::Receiver<StateMark>,
     pub(super) inputs: mpsc::Sender<Input>,
     /// Is notified of every failed call to the store.
@@ -61,7 +61,7 @@
                 address,
                 zone: self.zone.clone(),
             });
-            let mut choice = RelayChoice::new(others, self.spread, is_relay);
+            let mut choice = RelayChoice::new(others, self.spread, is_relay, self.usual_age);
             self.need.send_replace(choice.store_need());
             while !self.relays.has_changed().unwrap_or(true) {
                 let Some(peer) = choice.peer() else {
@@ -105,7 +105,7 @@
         let wait = if known == KnownState::default() {
             Duration::ZERO
         } else {
-            NEWS_WAIT
+            choice.wait()
         };
         let question = PeerQuestion {
             known,
--- a/tests/testsuite/steering/fan_out.rs
+++ b/tests/testsuite/steering/fan_out.rs
@@ -9,6 +9,7 @@
 
 const ZONES: [&str; 3] = ["lowell", "nashua", "concord"];
 const SECOND: Duration = Duration::from_secs(1);
+const USUAL_AGE: Duration = Duration::from_secs(2);
 
 fn address(n: u16) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, 1], n))
@@ -61,7 +62,7 @@
 #[test]
 fn endless_referrals_are_left() {
     let relays = vec![address(1), address(2)];
-    let mut choice = RelayChoice::new(relays, 0, false);
+    let mut choice = RelayChoice::new(relays, 0, false, USUAL_AGE);
     choice.on_answer(Duration::ZERO);
     let mut followed = 0;
     while choice.on_referral(&[address(7), address(8)]) {
@@ -78,7 +79,7 @@
 #[test]
 fn referred_peer_is_left() {
     let relays = vec![address(1), address(2)];
-    let mut choice = RelayChoice::new(relays, 0, false);
+    let mut choice = RelayChoice::new(relays, 0, false, USUAL_AGE);
     assert!(choice.on_referral(&[address(7)]));
     choice.on_answer(Duration::ZERO);
     assert_eq!(choice.peer(), Some(address(7)));
@@ -103,7 +104,10 @@
         let fan_out = |n| (address(n), FanOut::new(FanOut::PLACES));
         let choice = |n: u16| {
             let spread = usize::from(n).wrapping_mul(0x9E37_79B9);
-            (name(n), RelayChoice::new(relays.clone(), spread, false))
+            (
+                name(n),
+                RelayChoice::new(relays.clone(), spread, false, USUAL_AGE),
+            )
         };
         Self {
             now: MonoTime::default(),
--- a/tests/testsuite/steering/watch_loop.rs
+++ b/tests/testsuite/steering/watch_loop.rs
@@ -8,8 +8,11 @@
 };
 use zinniadrift_core::units::MonoTime;
 
+const USUAL_AGE: Duration = Duration::from_secs(2);
 const NONE: Revision = Revision::ZERO;
 
+const SECOND: Duration = Duration::from_secs(1);
+
 fn at(ms: u64) -> MonoTime {
     MonoTime::from_millis(ms)
 }
@@ -179,7 +182,7 @@
 /// Guards against a balancer that trusts a relay without news from the store.
 #[test]
 fn outdated_relay_is_left() {
-    let mut choice = RelayChoice::new(peers(3), 1, false);
+    let mut choice = RelayChoice::new(peers(3), 1, false, USUAL_AGE);
     assert_eq!(choice.store_need(), StoreNeed::NoRelay);
     assert_eq!(choice.peer(), Some(peer(1)));
     choice.on_answer(Duration::from_secs(1));
@@ -192,20 +195,64 @@
 /// Guards against a balancer that stays without news while its relay is away.
 #[test]
 fn silent_relay_is_left() {
-    let mut choice = RelayChoice::new(peers(3), 2, false);
+    let mut choice = RelayChoice::new(peers(3), 2, false, USUAL_AGE);
     choice.on_answer(Duration::ZERO);
     choice.on_fault();
     assert_eq!(choice.store_need(), StoreNeed::NoRelay);
     assert_eq!(choice.peer(), Some(peer(0)));
 }
 
+/// Guards against balancers that wait for news at a relay that has lost the store while another
+/// one has them: configurations came into force 3 s late (vsn-ruf trouble-1, rule CONFIG).
+#[test]
+fn relay_without_the_store_is_left_for_another() {
+    let mut choice = RelayChoice::new(peers(3), 0, false, USUAL_AGE);
+    choice.on_answer(Duration::from_millis(1_400));
+    // The question ends when the age shows that the relay has lost the store.
+    assert_eq!(choice.wait(), Duration::from_millis(600));
+    choice.on_answer(Duration::from_millis(2_010));
+    assert_eq!(choice.store_need(), StoreNeed::None);
+    assert_eq!(
+        (choice.peer(), choice.wait()),
+        (Some(peer(1)), Duration::ZERO)
+    );
+    choice.on_answer(Duration::from_millis(2_300));
+    assert_eq!(
+        (choice.peer(), choice.wait()),
+        (Some(peer(2)), Duration::ZERO)
+    );
+    choice.on_answer(Duration::from_millis(10));
+    assert_eq!((choice.peer(), choice.wait()), (Some(peer(2)), SECOND));
+    assert_eq!(choice.store_need(), StoreNeed::None);
+}
+
+/// Guards against questions without a pause while no relay hears from the store.
+#[test]
+fn each_relay_is_asked_once_a_second_without_the_store() {
+    let mut choice = RelayChoice::new(peers(3), 0, false, USUAL_AGE);
+    let mut asked = Vec::new();
+    let mut waited = Duration::ZERO;
+    for _ in 0..12 {
+        asked.push(choice.peer().unwrap());
+        waited += choice.wait();
+        choice.on_answer(Duration::from_secs(3) + waited);
+    }
+    assert_eq!(waited, 4 * SECOND);
+    for n in 0..3 {
+        assert_eq!(asked.iter().filter(|p| **p == peer(n)).count(), 4);
+    }
+}
+
 /// Guards against relays that stop watching because another relay is current.
 #[test]
 fn relay_watches_the_store_itself() {
-    let mut choice = RelayChoice::new(peers(2), 0, true);
+    let mut choice = RelayChoice::new(peers(2), 0, true, USUAL_AGE);
     choice.on_answer(Duration::ZERO);
     assert_eq!(choice.store_need(), StoreNeed::Relay);
-    assert_eq!(RelayChoice::new(Vec::new(), 5, false).peer(), None);
+    assert_eq!(
+        RelayChoice::new(Vec::new(), 5, false, USUAL_AGE).peer(),
+        None
+    );
 }
 
 fn confirming(from: u64) -> StoreStep {
