Set the wait of watches by the platform's bound for configurations

Cause: a lost answer to a watch is noticed after its wait of 4 s and the limit of a call, and a peer without the store is left after the wait and 0.8 s. Both are longer than the 3 s in which a configuration has to be in force on two of the sites. The wait is now the bound less the time for a second call: 1.2 s where the bound is 3 s, 3.2 s where it is 5 s.

--- a/tests/testsuite/edge_decoders.rs
+++ b/tests/testsuite/edge_decoders.rs
@@ -5,7 +5,9 @@
 use proptest::prelude::*;
 use serde_json::{Value, json};
 
-use zinniadrift_core::steering::{Cookie, DeliveryGuard, InstanceState, SegmentKind};
+use zinniadrift_core::steering::{
+    Cookie, DeliveryGuard, InstanceState, SegmentKind, WatchSettings,
+};
 use zinniadrift_edge::{
     BootFile, HEADER_BYTES, MAX_DATA_BYTES, PacketHeader, decode_configuration, decode_packet,
     decode_server, encode_forward, encode_reset, flag,
@@ -256,6 +258,26 @@
     assert_eq!(settings.stop_within.as_millis(), 4_800);
 }
 
+/// Guards against a lost answer of the store that makes a configuration late: it is missed after
+/// the wait and the call's limit, and a second answer has to arrive within the bound.
+#[test]
+fn watches_end_in_time_for_the_next_configuration() {
+    for (bound, longest) in [
+        (3_000, 1_200),
+        (5_000, 3_200),
+        (60_000, 4_000),
+        (1_000, 500),
+    ] {
+        let mut value = boot();
+        value["bounds"]["config_apply_ms"] = json!(bound);
+        let file = BootFile::parse(value.to_string().as_bytes(), "boot.json").unwrap();
+        let wait = file.edge_settings(None).watch.watch_wait;
+        assert_eq!(wait.as_millis(), longest, "of {bound}");
+    }
+    let file = BootFile::parse(boot().to_string().as_bytes(), "boot.json").unwrap();
+    assert_eq!(file.edge_settings(None).watch, WatchSettings::default());
+}
+
 macro_rules! bad_settings {
     ($($name:ident: $pointer:literal = $value:expr => $path:literal;)*) => {
         $(
@@ -278,6 +300,12 @@
     seeds_must_be_a_list: "/seeds" = json!("10.1.0.1:1") => "$.seeds";
     bounds_must_be_numbers: "/bounds/grace_s" = json!("6") => "$.bounds.grace_s";
     bounds_must_not_be_negative: "/bounds/grace_s" = json!(-1) => "$.bounds.grace_s";
+    configuration_bound_must_be_a_number: "/bounds" = json!({
+        "grace_s": 6, "flow_lifetime_s": 60, "config_apply_ms": "soon"
+    }) => "$.bounds.config_apply_ms";
+    configuration_bound_must_not_be_negative: "/bounds" = json!({
+        "grace_s": 6, "flow_lifetime_s": 60, "config_apply_ms": -1
+    }) => "$.bounds.config_apply_ms";
     bounds_must_be_finite_times: "/bounds/flow_lifetime_s" = json!(1e300) => "flow_lifetime_s";
     store_must_be_an_address: "/platform/address" = json!(null) => "$.platform.address";
 }
