Ask the store when no relay is as current as usual

All three relays lost the store from 1.3 s on. The others relied on them until the last confirmation was six seconds old; a configuration acknowledged at 2.91 s came into force at 7.96 s.

A balancer now calls the store once every relay has told an age above the usual one.

Ruled out: a relay with newer news (all three told the same age). The test fails without the change.

--- a/crates/zinniadrift-core/src/steering/relay_choice.rs
+++ b/crates/zinniadrift-core/src/steering/relay_choice.rs
@@ -28,8 +28,8 @@
     referrals: usize,
 }
 
-/// The age of the store's confirmation from which a balancer asks the store itself: then none of
-/// the relays has heard from the store for longer than its watches take.
+/// The age of the store's confirmation from which a balancer asks the store before it has asked all
+/// relays.
 const MAX_AGE: Duration = Duration::from_secs(6);
 /// How long a peer may wait for news; one that went silent is noticed after it.
 const NEWS_WAIT: Duration = Duration::from_millis(1_000);
@@ -87,11 +87,14 @@
     pub fn on_answer(&mut self, age: Duration) {
         self.referrals = 0;
         self.age = age;
-        self.current = age <= MAX_AGE;
-        if age > self.usual_age {
-            self.leave_peer();
-        } else {
+        if age <= self.usual_age {
+            self.current = true;
             self.left = 0;
+            return;
+        }
+        self.leave_peer();
+        if age > MAX_AGE || self.left >= self.relays.len() {
+            self.current = false;
         }
     }
 
--- a/tests/testsuite/steering/watch_loop.rs
+++ b/tests/testsuite/steering/watch_loop.rs
@@ -226,6 +226,23 @@
     assert_eq!(choice.store_need(), StoreNeed::None);
 }
 
+/// Guards against balancers that rely on relays of which none hears from the store: with three
+/// relays cut off, configurations came into force 5 s late (glag-ore hunt-fd28-51, rule CONFIG).
+#[test]
+fn store_is_asked_when_no_relay_hears_from_it() {
+    let mut choice = RelayChoice::new(peers(3), 0, false, USUAL_AGE);
+    choice.on_answer(Duration::from_millis(100));
+    for needed in [StoreNeed::None, StoreNeed::None, StoreNeed::NoRelay] {
+        choice.on_answer(Duration::from_millis(2_100));
+        assert_eq!(choice.store_need(), needed);
+    }
+    // The next round begins with another old answer, which changes nothing.
+    choice.on_answer(Duration::from_millis(3_100));
+    assert_eq!(choice.store_need(), StoreNeed::NoRelay);
+    choice.on_answer(Duration::from_millis(50));
+    assert_eq!(choice.store_need(), StoreNeed::None);
+}
+
 /// Guards against questions without a pause while no relay hears from the store.
 #[test]
 fn each_relay_is_asked_once_a_second_without_the_store() {
