Tell peers what changed and changed back while a peer was cut off

In an outage all entries lapsed and came back. A balancer that had read the removals (revision 455) asked a peer that had been cut off and had jumped from 143 to 652. The peer's log of changes held the difference of these two states, in which the entries had never been away, so the balancer took the targets for gone at revision 752 and, after the grace, reset their flows.

A log now marks the steps of which only the difference is known, as after a list or the news of a peer. A balancer with a state inside such a step gets everything. Changes read from the store are all logged, also those that are nothing new to the reader.

Ruled out: targets that registered late (other balancers had i-1c1ff7da8e at revision 625, 2 s after the store's return); a grace too short.

--- a/crates/zinniadrift-core/src/steering/change_log.rs
+++ b/crates/zinniadrift-core/src/steering/change_log.rs
@@ -3,23 +3,45 @@
 use super::{Revision, TargetChange};
 
 /// Remembers the latest changes of the directory, so that peers get only what they miss.
+///
+/// A balancer passes from one state of the store to a later one. What it learned on the way from a
+/// list or a peer is the difference of the two states only: what changed and changed back between
+/// them is not known.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ChangeLog {
     changes: VecDeque<(Revision, TargetChange)>,
-    /// The revision after which every change is in the log.
+    /// The steps of which only the difference is known, in their order.
+    differences: VecDeque<Difference>,
+    /// The revision after which every change or difference is in the log.
     complete_after: Revision,
 }
 
-/// The number of changes kept; a release of all 3,500 targets of the planned size in steps of one
-/// second stays far below it between two questions of a peer.
+/// Tells what changes hold of the time between two states.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Coverage {
+    /// Every object that changed.
+    All,
+    /// What differs between the two states.
+    Difference,
+}
+
+/// Is a step between two known states with unknown ones between them.
+#[derive(Clone, Copy, Debug)]
+struct Difference {
+    from: Revision,
+    to: Revision,
+}
+
+/// The number of changes kept, and of differences; a release of all 3,500 targets of the planned
+/// size in steps of one second stays far below it between two questions of a peer.
 const CAPACITY: usize = 512;
 
 impl ChangeLog {
     /// Returns a log that begins after `revision`.
     pub(crate) fn starting_after(revision: Revision) -> Self {
         Self {
-            changes: VecDeque::new(),
             complete_after: revision,
+            ..Self::default()
         }
     }
 
@@ -33,9 +55,23 @@
         self.changes.push_back((revision, change));
     }
 
+    /// Records that the changes of the step between two states are their difference only.
+    pub(crate) fn push_difference(&mut self, from: Revision, to: Revision) {
+        if from >= to {
+            return;
+        }
+        if self.differences.len() >= CAPACITY
+            && let Some(dropped) = self.differences.pop_front()
+        {
+            self.complete_after = self.complete_after.max(dropped.to);
+        }
+        self.differences.push_back(Difference { from, to });
+    }
+
     /// Returns the changes after `revision`, or `None` if some are not known any more.
     pub(crate) fn since(&self, revision: Revision) -> Option<Vec<TargetChange>> {
-        if revision < self.complete_after {
+        let is_between = |d: &Difference| d.from < revision && revision < d.to;
+        if revision < self.complete_after || self.differences.iter().any(is_between) {
             return None;
         }
         let newer = self.changes.iter().filter(|(at, _)| *at > revision);
--- a/crates/zinniadrift-core/src/steering/directory.rs
+++ b/crates/zinniadrift-core/src/steering/directory.rs
@@ -6,7 +6,7 @@
 use crate::ids::ServiceId;
 use crate::units::MonoTime;
 
-use super::change_log::ChangeLog;
+use super::change_log::{ChangeLog, Coverage};
 use super::cookie::TargetTag;
 use super::target_state::{Presence, TargetRecord};
 use super::{DirectoryListing, Revision, TargetInstance};
@@ -89,7 +89,7 @@
         let removed = missing.map(TargetChange::Removed);
         let put = listing.targets.into_iter().map(TargetChange::Put);
         let changes = removed.chain(put).collect();
-        Some(self.apply(changes, listing.as_of, now))
+        Some(self.apply(changes, Coverage::Difference, listing.as_of, now))
     }
 
     fn missing_from(&self, listing: &DirectoryListing) -> Vec<Box<str>> {
@@ -100,23 +100,32 @@
 
     /// Applies changes up to `as_of` and returns those that were new.
     ///
-    /// Changes of an older state than the present one are ignored.
+    /// `coverage` tells what the changes hold. Those of an older state than the present one are
+    /// ignored.
     pub(crate) fn apply(
         &mut self,
         changes: Vec<TargetChange>,
+        coverage: Coverage,
         as_of: Revision,
         now: MonoTime,
     ) -> Vec<TargetChange> {
         if as_of < self.as_of {
             return Vec::new();
         }
+        if coverage == Coverage::Difference {
+            self.log.push_difference(self.as_of, as_of);
+        }
         self.as_of = as_of;
         let mut news = Vec::new();
         for change in changes {
-            if !self.is_new(&change) {
+            let is_new = self.is_new(&change);
+            // A peer with a state in between may miss what is nothing new here.
+            if is_new || coverage == Coverage::All {
+                self.log.push(as_of, change.clone());
+            }
+            if !is_new {
                 continue;
             }
-            self.log.push(as_of, change.clone());
             self.changed = as_of;
             news.push(change.clone());
             match change {
--- a/crates/zinniadrift-core/src/steering/knowledge_input.rs
+++ b/crates/zinniadrift-core/src/steering/knowledge_input.rs
@@ -2,6 +2,7 @@
 
 use crate::units::{MonoTime, Version};
 
+use super::change_log::Coverage;
 use super::{
     Decision, DirectoryListing, InstanceState, KnownState, PeerUpdate, Revision, RouteTable,
     Steering, TargetChange, TargetNews,
@@ -27,18 +28,30 @@
         self.note_changes(&news);
     }
 
-    /// Takes changes of the list of targets up to `as_of`, which was the newest at `confirmed`.
+    /// Takes the store's changes of the list of targets up to `as_of`, which was the newest at
+    /// `confirmed`.
     pub fn on_changes(
         &mut self,
         now: MonoTime,
         confirmed: MonoTime,
         changes: Vec<TargetChange>,
         as_of: Revision,
+    ) {
+        self.take_changes(now, confirmed, changes, Coverage::All, as_of);
+    }
+
+    fn take_changes(
+        &mut self,
+        now: MonoTime,
+        confirmed: MonoTime,
+        changes: Vec<TargetChange>,
+        coverage: Coverage,
+        as_of: Revision,
     ) {
         if as_of < self.directory.as_of() {
             return;
         }
-        let news = self.directory.apply(changes, as_of, now);
+        let news = self.directory.apply(changes, coverage, as_of, now);
         self.directory_known.confirm(confirmed);
         self.note_changes(&news);
     }
@@ -49,7 +62,9 @@
         match update.targets {
             TargetNews::All(listing) => self.on_listing(now, Some(directory_at), listing),
             TargetNews::Changes(changes) => {
-                self.on_changes(now, directory_at, changes, update.known.targets);
+                // The peer may know less of the time between two states than all that happened.
+                let coverage = Coverage::Difference;
+                self.take_changes(now, directory_at, changes, coverage, update.known.targets);
             }
         }
         let routes_at = now - update.routes_age;
--- a/tests/testsuite/steering/mod.rs
+++ b/tests/testsuite/steering/mod.rs
@@ -5,6 +5,7 @@
 mod ended_targets;
 mod fan_out;
 mod liveness;
+mod news;
 mod placement;
 mod relays;
 mod watch_loop;
--- /dev/null
+++ b/tests/testsuite/steering/news.rs
@@ -0,0 +1,202 @@
+//! Checks that balancers that learn from the store and from changing peers know the truth.
+
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+
+use zinniadrift_core::steering::{DirectoryListing, Revision, TargetChange, TargetInstance};
+
+use super::world::{World, draining, target};
+
+/// Is the store's list of targets with its history.
+#[derive(Default)]
+struct Store {
+    revision: u64,
+    history: Vec<(u64, TargetChange)>,
+}
+
+impl Store {
+    fn change(&mut self, change: TargetChange) {
+        self.revision += 1;
+        self.history.push((self.revision, change));
+    }
+
+    fn put(&mut self, instance: TargetInstance) {
+        self.change(TargetChange::Put(instance));
+    }
+
+    fn remove(&mut self, n: u8) {
+        self.change(TargetChange::Removed(target(n).name));
+    }
+
+    /// Returns the targets at a revision by name.
+    fn at(&self, revision: Revision) -> BTreeMap<Box<str>, TargetInstance> {
+        let mut state = BTreeMap::new();
+        for (at, change) in &self.history {
+            if Revision::from(*at) > revision {
+                break;
+            }
+            match change {
+                TargetChange::Put(t) => {
+                    state.insert(t.name.clone(), t.clone());
+                }
+                TargetChange::Removed(name) => {
+                    state.remove(name);
+                }
+            }
+        }
+        state
+    }
+
+    fn list(&self, balancer: &mut World) {
+        let as_of = Revision::from(self.revision);
+        let targets = self.at(as_of).into_values().collect();
+        let listing = DirectoryListing { as_of, targets };
+        balancer
+            .core
+            .on_listing(balancer.now, Some(balancer.now), listing);
+    }
+
+    /// Lets a balancer read the changes since what it knows.
+    fn watch(&self, balancer: &mut World) {
+        let from = balancer.core.known().targets;
+        let newer = self.history.iter();
+        let newer = newer.filter(|(at, _)| Revision::from(*at) > from);
+        let changes = newer.map(|(_, change)| change.clone()).collect();
+        let as_of = Revision::from(self.revision);
+        balancer
+            .core
+            .on_changes(balancer.now, balancer.now, changes, as_of);
+    }
+
+    fn assert_true(&self, balancer: &World) {
+        let known = balancer.core.known().targets;
+        let listed = balancer.core.directory().listing().targets;
+        let listed: BTreeMap<_, _> = listed.into_iter().map(|t| (t.name.clone(), t)).collect();
+        assert_eq!(listed, self.at(known), "at revision {known}");
+    }
+}
+
+fn ask(asking: &mut World, peer: &World) {
+    if let Some(update) = peer.core.update_for(peer.now, asking.core.known()) {
+        asking.core.on_peer_update(asking.now, update);
+    }
+}
+
+fn balancer(seed: u64) -> World {
+    let mut w = World::empty(seed);
+    // Peers answer only with a configuration.
+    w.configure(1, Vec::new());
+    w
+}
+
+/// Guards against a peer that leaves out what changed and changed back while it was cut off: a
+/// balancer with a state in between took living targets for gone and reset their flows
+/// (vsn-ruf-grown fresh-c510 of journal c5103277, rule FLOW, 170 times).
+#[test]
+fn peer_that_was_cut_off_tells_what_changed_and_changed_back() {
+    let mut store = Store::default();
+    store.put(target(1));
+    let (mut cut_off, mut other, mut asking) = (balancer(1), balancer(2), balancer(3));
+    for w in [&mut cut_off, &mut other, &mut asking] {
+        store.list(w);
+    }
+    store.remove(1);
+    store.watch(&mut asking);
+    store.put(target(1));
+    store.watch(&mut other);
+    ask(&mut cut_off, &other);
+    ask(&mut asking, &cut_off);
+    store.assert_true(&asking);
+    // The same by a list of the store.
+    store.remove(1);
+    store.watch(&mut asking);
+    store.put(target(1));
+    store.list(&mut cut_off);
+    ask(&mut asking, &cut_off);
+    store.assert_true(&asking);
+}
+
+/// Guards against everything that is sent to each balancer that changes its peer.
+#[test]
+fn changes_from_the_store_suffice_for_any_state() {
+    let mut store = Store::default();
+    store.put(target(1));
+    let (mut relay, mut asking) = (balancer(1), balancer(2));
+    store.list(&mut relay);
+    store.list(&mut asking);
+    store.remove(1);
+    store.watch(&mut asking);
+    store.put(target(1));
+    store.watch(&mut relay);
+    let update = relay.core.update_for(relay.now, asking.core.known());
+    let targets = update.unwrap().targets;
+    assert!(
+        matches!(&targets, zinniadrift_core::steering::TargetNews::Changes(c) if c.len() == 2),
+        "{targets:?}"
+    );
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Put(u8),
+    Drain(u8),
+    Remove(u8),
+    OtherWrite,
+    List(usize),
+    Watch(usize),
+    Ask(usize, usize),
+}
+
+const BALANCERS: usize = 5;
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let n = || 1_u8..5;
+    let b = || 0..BALANCERS;
+    let one = prop_oneof![
+        4 => n().prop_map(Step::Put),
+        2 => n().prop_map(Step::Drain),
+        4 => n().prop_map(Step::Remove),
+        1 => Just(Step::OtherWrite),
+        1 => b().prop_map(Step::List),
+        3 => b().prop_map(Step::Watch),
+        8 => (b(), b()).prop_map(|(i, j)| Step::Ask(i, j)),
+    ];
+    prop::collection::vec(one, 1..300)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(256))]
+
+    /// Guards against knowledge that differs from the store's at the same revision, whatever way
+    /// it took.
+    #[test]
+    fn knowledge_is_true_at_its_revision(steps in steps()) {
+        let mut store = Store::default();
+        let mut balancers: Vec<World> = (1..).map(balancer).take(BALANCERS).collect();
+        for step in steps {
+            match step {
+                Step::Put(n) => store.put(target(n)),
+                Step::Drain(n) => store.put(draining(n)),
+                Step::Remove(n) => store.remove(n),
+                Step::OtherWrite => store.revision += 1,
+                Step::List(i) => store.list(&mut balancers[i]),
+                Step::Watch(i) => store.watch(&mut balancers[i]),
+                Step::Ask(i, j) if i == j => {}
+                Step::Ask(i, j) => {
+                    let update = {
+                        let known = balancers[i].core.known();
+                        balancers[j].core.update_for(balancers[j].now, known)
+                    };
+                    let asking = &mut balancers[i];
+                    if let Some(update) = update {
+                        asking.core.on_peer_update(asking.now, update);
+                    }
+                }
+            }
+            for w in &balancers {
+                store.assert_true(w);
+            }
+        }
+    }
+}
