Take no connection at an address with a later owner for a sign of life

Four targets fall silent at 24.0 s and their addresses go to another service at 26.0 s. Probes had found them dead at 24.9 to 26.1 s; from 26.0 s on the new owners accepted the probes, so that the dead targets counted as alive again. Their flows hung until the entries had lapsed and the grace was over at 30.6 s: 164 requests not served by their deadline.

A probe that is accepted at an address which a later listed entry names now counts as refused, and a target that was found dead and has such a successor stays dead until it answers a caller.

Ruled out: late registration (known at 27.0 s); probes that were not made. Two of the three new tests fail without the change, the third guards living targets.

Open: from 26.0 s until the new entry is known (27.0 s) an accepted probe still counts; the platform's reuse bound would tell, but a target that comes back must keep its flows.

--- a/crates/zinniadrift-core/src/steering/directory.rs
+++ b/crates/zinniadrift-core/src/steering/directory.rs
@@ -21,7 +21,9 @@
 }
 
 /// Is the position of a target in the directory.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+///
+/// Targets that became known later have higher ones.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub(crate) struct TargetIndex(u32);
 
 /// Knows all targets that can be behind a cookie: listed, lapsed and ended ones.
@@ -267,6 +269,24 @@
         dead * 2 > listed
     }
 
+    /// Tells whether the target's address has a later owner.
+    pub(crate) fn has_successor(&self, index: TargetIndex) -> bool {
+        let Some(record) = self.get(index) else {
+            return false;
+        };
+        let address = record.instance.address;
+        self.records.iter().any(|(other, r)| {
+            *other > index && r.presence == Presence::Listed && r.instance.address == address
+        })
+    }
+
+    /// Tells whether the target was found dead and its address has a later owner, which accepts
+    /// connections there and ignores packets for the dead one.
+    pub(crate) fn is_succeeded(&self, index: TargetIndex) -> bool {
+        let has_died = self.get(index).is_some_and(|r| r.liveness.has_died());
+        has_died && self.has_successor(index)
+    }
+
     /// Returns the listed targets that count as dead.
     pub(crate) fn dead_targets(&self) -> Vec<TargetIndex> {
         let listed = |r: &TargetRecord| r.presence == Presence::Listed;
--- a/crates/zinniadrift-core/src/steering/liveness.rs
+++ b/crates/zinniadrift-core/src/steering/liveness.rs
@@ -15,6 +15,8 @@
     repeats: u32,
     next_probe: MonoTime,
     is_dead: bool,
+    /// Whether it was dead since the last answer to a caller.
+    has_died: bool,
 }
 
 /// Tells how a target answered a probe.
@@ -42,8 +44,14 @@
         self.repeats = self.repeats.saturating_add(1);
     }
 
-    /// Records a sign of life.
+    /// Records an answer to a caller.
     pub(crate) fn note_answer(&mut self) {
+        self.note_connection();
+        self.has_died = false;
+    }
+
+    /// Records that something accepts connections at the target's address.
+    fn note_connection(&mut self) {
         self.repeats = 0;
         self.is_dead = false;
     }
@@ -60,8 +68,9 @@
     /// Takes the result of a probe; tells whether the target counts as dead from now on.
     pub(crate) fn on_probe(&mut self, result: ProbeResult) -> bool {
         match result {
-            ProbeResult::Accepted => self.note_answer(),
+            ProbeResult::Accepted => self.note_connection(),
             ProbeResult::Refused | ProbeResult::Silent if self.repeats >= REPEATS => {
+                self.has_died = true;
                 let was_dead = std::mem::replace(&mut self.is_dead, true);
                 return !was_dead;
             }
@@ -70,6 +79,11 @@
         false
     }
 
+    /// Tells whether the target was dead and has not answered a caller since.
+    pub(crate) const fn has_died(&self) -> bool {
+        self.has_died
+    }
+
     /// Tells whether the target counts as dead.
     pub(crate) const fn is_dead(&self) -> bool {
         self.is_dead
--- a/crates/zinniadrift-core/src/steering/open_flows.rs
+++ b/crates/zinniadrift-core/src/steering/open_flows.rs
@@ -20,7 +20,7 @@
         let Some(index) = self.directory.find(tag) else {
             return self.unknown_cookie(now, seg, tag);
         };
-        if let Some(reason) = self.directory.get(index).and_then(end_of) {
+        if let Some(reason) = self.end_of(index) {
             self.end_flow(seg);
             return match seg.kind {
                 SegmentKind::Reset => Verdict::Drop(DropReason::NothingToReset),
@@ -34,6 +34,16 @@
         self.forward(seg, index)
     }
 
+    /// Returns why flows of the target end, if they do.
+    fn end_of(&self, index: TargetIndex) -> Option<ResetReason> {
+        let record = self.directory.get(index)?;
+        if matches!(record.presence, Presence::Gone { .. }) {
+            return Some(ResetReason::TargetGone);
+        }
+        let is_dead = record.liveness.is_dead() || self.directory.is_succeeded(index);
+        is_dead.then_some(ResetReason::TargetSilent)
+    }
+
     pub(super) fn without_route(&mut self, now: MonoTime, seg: &Segment) -> Verdict {
         let since = self.unknown_routes.since(seg.flow.service, now);
         let margin = match seg.kind {
@@ -120,17 +130,6 @@
     }
 }
 
-/// Returns why flows of the target end, if they do.
-fn end_of(record: &TargetRecord) -> Option<ResetReason> {
-    if matches!(record.presence, Presence::Gone { .. }) {
-        return Some(ResetReason::TargetGone);
-    }
-    record
-        .liveness
-        .is_dead()
-        .then_some(ResetReason::TargetSilent)
-}
-
 pub(super) fn may_live(record: &TargetRecord) -> bool {
     matches!(record.presence, Presence::Lapsed { .. })
 }
--- a/crates/zinniadrift-core/src/steering/placing.rs
+++ b/crates/zinniadrift-core/src/steering/placing.rs
@@ -106,7 +106,8 @@
                 continue;
             };
             let usable = record.is_open() || (lapsed_count && may_live(record));
-            if !usable || !self.directory.owns_tag(index) {
+            let is_ended = !self.directory.owns_tag(index) || self.directory.is_succeeded(index);
+            if !usable || is_ended {
                 continue;
             }
             let is_full = record.busy >= u32::from(record.instance.slots) + queue_limit;
--- a/crates/zinniadrift-core/src/steering/probing.rs
+++ b/crates/zinniadrift-core/src/steering/probing.rs
@@ -83,6 +83,11 @@
         let Some(index) = self.directory.find_name(name) else {
             return Vec::new();
         };
+        // The later owner of an address accepts connections there.
+        let result = match result {
+            ProbeResult::Accepted if self.directory.has_successor(index) => ProbeResult::Refused,
+            other => other,
+        };
         let cut_off = now.since(self.last_answer) > CUT_OFF_AFTER;
         let doubtful = cut_off || self.directory.is_mostly_dead_without(index);
         let judged = match result {
--- a/tests/testsuite/steering/liveness.rs
+++ b/tests/testsuite/steering/liveness.rs
@@ -2,7 +2,8 @@
 
 use std::net::SocketAddrV4;
 
-use zinniadrift_core::steering::{Cookie, ProbeResult, ResetReason, SegmentKind};
+use zinniadrift_core::ids::ServiceId;
+use zinniadrift_core::steering::{Cookie, ProbeResult, ResetReason, SegmentKind, TargetInstance};
 
 use super::world::{STREAM, World, far_target, flow, forwarded, packet, reset_reason, target};
 
@@ -165,6 +166,66 @@
     assert!((0..100).any(|i| forwarded(w.open(2_000 + i, STREAM, 0)) == p.to));
 }
 
+/// Returns a target of another service at the address of target 1.
+fn successor() -> TargetInstance {
+    TargetInstance {
+        name: "i-00000000ff".into(),
+        service: ServiceId::from_name("corevault"),
+        guard: 255.into(),
+        ..target(1)
+    }
+}
+
+/// Guards against flows that hang at an address with a new owner: it accepts probes and ignores
+/// packets for the dead target (glag-ore trouble-2, 164 requests until their deadline).
+#[test]
+fn probe_answered_by_the_next_owner_of_the_address_is_no_sign_of_life() {
+    let (mut w, pending) = with_dead_target();
+    probed(&mut w);
+    w.core.on_probe(w.now, &target(1).name, ProbeResult::Silent);
+    w.put(successor());
+    w.pass(1_500);
+    w.core
+        .on_probe(w.now, &target(1).name, ProbeResult::Accepted);
+    let p = pending.iter().find(|p| p.to == target(1).address).unwrap();
+    let verdict = w.send(p.port, STREAM, p.cookie);
+    assert_eq!(reset_reason(verdict), Some(ResetReason::TargetSilent));
+    assert!((0..100).all(|i| forwarded(w.open(2_000 + i, STREAM, 0)) != p.to));
+}
+
+/// Guards against the same when the address changed hands before the first probe.
+#[test]
+fn address_that_changed_hands_before_the_probe_ends_the_flows() {
+    let (mut w, pending) = with_dead_target();
+    w.put(successor());
+    let result = ProbeResult::Accepted;
+    let abandoned = w.core.on_probe(w.now, &target(1).name, result);
+    let waiting = pending.iter().filter(|p| p.to == target(1).address).count();
+    assert_eq!(abandoned.len(), waiting);
+    // A lapsed entry with a successor has ended, too.
+    let (mut w, _) = with_dead_target();
+    w.put(successor());
+    w.remove(1);
+    let abandoned = w.core.on_probe(w.now, &target(1).name, result);
+    assert_eq!(abandoned.len(), waiting);
+}
+
+/// Guards against a living target whose flows end because some entry names its address.
+#[test]
+fn answering_target_keeps_its_flows_whoever_claims_its_address() {
+    let mut w = World::new(1, (1..=3).map(target).collect());
+    let pending = start_requests(&mut w, 0..6);
+    w.put(successor());
+    let claimed = pending.iter().find(|p| p.to == target(1).address).unwrap();
+    for round in 0..20 {
+        w.pass(500);
+        w.core
+            .on_probe(w.now, &target(1).name, ProbeResult::Accepted);
+        let verdict = w.request(claimed.port, STREAM, claimed.cookie, 10 + round);
+        assert_eq!(forwarded(verdict), claimed.to);
+    }
+}
+
 /// Guards against probes that could not be made and count as silence.
 #[test]
 fn probe_that_was_not_made_says_nothing() {
