--- a/crates/zinniadrift-core/src/steering/knowledge_input.rs
+++ b/crates/zinniadrift-core/src/steering/knowledge_input.rs
@@ -78,6 +78,7 @@
             }
             None => {}
         }
+        self.on_reports(now, update.silent);
     }
 
     /// Returns what this balancer knows, to ask a peer for the rest.
@@ -103,6 +104,7 @@
             routes_age,
             targets,
             routes: self.route_history.delta(known.version),
+            silent: self.silent.current(now),
         })
     }
 
--- a/tests/testsuite/steering/mod.rs
+++ b/tests/testsuite/steering/mod.rs
@@ -8,5 +8,6 @@
 mod news;
 mod placement;
 mod relays;
+mod reports;
 mod watch_loop;
 mod world;
