--- a/crates/zinniadrift-core/src/steering/flow_tracker.rs
+++ b/crates/zinniadrift-core/src/steering/flow_tracker.rs
@@ -120,14 +120,14 @@
         flow.seen = now;
         match flow.phase {
             FlowPhase::Opening => {
-                record.note_answer(now);
+                record.note_answer();
                 answered = true;
                 flow.last_ack = seg.ack;
                 // A caller that opened a flow for a request sends it at once.
                 flow.phase = FlowPhase::Idle;
             }
             FlowPhase::Busy { since } if advances(flow.last_ack, seg.ack) => {
-                record.note_answer(now);
+                record.note_answer();
                 answered = true;
                 let took = now.since(since);
                 record.note_answer_time(now, took);
--- a/crates/zinniadrift-core/src/steering/knowledge_input.rs
+++ b/crates/zinniadrift-core/src/steering/knowledge_input.rs
@@ -78,7 +78,6 @@
             }
             None => {}
         }
-        self.on_reports(now, update.silent);
     }
 
     /// Returns what this balancer knows, to ask a peer for the rest.
@@ -104,7 +103,6 @@
             routes_age,
             targets,
             routes: self.route_history.delta(known.version),
-            silent: self.silent.current(now),
         })
     }
 
--- a/crates/zinniadrift-core/src/steering/liveness.rs
+++ b/crates/zinniadrift-core/src/steering/liveness.rs
@@ -15,8 +15,6 @@
     repeats: u32,
     next_probe: MonoTime,
     is_dead: bool,
-    /// Whether a peer found it dead since the last sign of life.
-    is_reported: bool,
     /// Whether it was dead since the last answer to a caller.
     has_died: bool,
 }
@@ -56,27 +54,11 @@
     fn note_connection(&mut self) {
         self.repeats = 0;
         self.is_dead = false;
-        self.is_reported = false;
-    }
-
-    /// Records that a peer found the target dead.
-    pub(crate) fn note_report(&mut self) {
-        self.is_reported = true;
-    }
-
-    /// Tells whether a peer found the target dead since the last sign of life.
-    pub(crate) const fn is_reported(&self) -> bool {
-        self.is_reported
-    }
-
-    /// Tells whether there is a ground to take the target for dead if a probe fails.
-    fn is_doubtful(&self) -> bool {
-        self.repeats >= REPEATS || self.is_reported
     }
 
     /// Tells whether to probe now; a dead target is probed again until it answers.
     pub(crate) fn wants_probe(&mut self, now: MonoTime) -> bool {
-        let wanted = (self.is_doubtful() || self.is_dead) && now >= self.next_probe;
+        let wanted = (self.repeats >= REPEATS || self.is_dead) && now >= self.next_probe;
         if wanted {
             self.next_probe = now + PROBE_PAUSE;
         }
@@ -87,7 +69,7 @@
     pub(crate) fn on_probe(&mut self, result: ProbeResult) -> bool {
         match result {
             ProbeResult::Accepted => self.note_connection(),
-            ProbeResult::Refused | ProbeResult::Silent if self.is_doubtful() => {
+            ProbeResult::Refused | ProbeResult::Silent if self.repeats >= REPEATS => {
                 self.has_died = true;
                 let was_dead = std::mem::replace(&mut self.is_dead, true);
                 return !was_dead;
--- a/crates/zinniadrift-core/src/steering/peer_update.rs
+++ b/crates/zinniadrift-core/src/steering/peer_update.rs
@@ -4,7 +4,7 @@
 
 use crate::units::Version;
 
-use super::{DirectoryListing, Revision, RouteDelta, SilentTarget, TargetChange};
+use super::{DirectoryListing, Revision, RouteDelta, TargetChange};
 
 /// Tells what a balancer knows when it asks a peer for news.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -30,8 +30,6 @@
     pub targets: TargetNews,
     /// What it misses of the configuration.
     pub routes: Option<RouteDelta>,
-    /// The targets that the peer or others found dead lately.
-    pub silent: Vec<SilentTarget>,
 }
 
 /// Is the part of the directory that a balancer misses.
--- a/crates/zinniadrift-core/src/steering/probing.rs
+++ b/crates/zinniadrift-core/src/steering/probing.rs
@@ -5,9 +5,8 @@
 use crate::units::MonoTime;
 
 use super::directory::TargetIndex;
-use super::silent_reports::REPORT_LIFE;
 use super::target_state::Presence;
-use super::{Decision, ProbeResult, ResetReason, SilentTarget, Steering};
+use super::{Decision, ProbeResult, ResetReason, Steering};
 
 /// Asks for a probe of a target.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -53,38 +52,6 @@
         }
     }
 
-    /// Takes reports of peers about targets that they found dead.
-    ///
-    /// Such a target gets no new flows for a while. It is probed if it has flows of this balancer,
-    /// which are reset only if that probe fails too.
-    pub fn on_reports(&mut self, now: MonoTime, reports: Vec<SilentTarget>) {
-        for report in reports {
-            let at = now - report.age;
-            if now >= at + REPORT_LIFE || !self.silent.note(&report.name, at) {
-                continue;
-            }
-            let Some(index) = self.directory.find_name(&report.name) else {
-                continue;
-            };
-            if let Some(record) = self.directory.get_mut(index) {
-                record.note_report(at);
-                if record.flows > 0 {
-                    self.ask_for_probe(now, index);
-                }
-            }
-        }
-    }
-
-    /// Returns the targets that this balancer or a peer found dead lately.
-    pub fn silent_targets(&self, now: MonoTime) -> Vec<SilentTarget> {
-        self.silent.current(now)
-    }
-
-    /// Returns the number of reports so far that peers should know.
-    pub const fn reports(&self) -> u64 {
-        self.silent.news()
-    }
-
     fn push_probe(&mut self, index: TargetIndex) {
         let Some(record) = self.directory.get(index) else {
             return;
@@ -130,24 +97,13 @@
         let Some(record) = self.directory.get_mut(index) else {
             return Vec::new();
         };
-        // Targets of a zone that cannot be reached from here may serve others.
-        let zone = &record.instance.zone;
-        let is_cut_off = *zone != self.cfg.zone && self.zones.is_avoided(zone, now);
         let is_lapsed = matches!(record.presence, Presence::Lapsed { .. });
         let has_ended = is_lapsed && result == ProbeResult::Refused;
         if has_ended {
             record.presence = Presence::Gone { at: now };
         }
-        if judged == ProbeResult::Accepted && record.liveness.is_reported() {
-            record.note_connection(now);
-        }
         let died = record.liveness.on_probe(judged) || has_ended;
         let dead = record.liveness.is_dead() || has_ended;
-        if dead && !is_cut_off {
-            self.silent.note(name, now);
-        } else if judged == ProbeResult::Accepted {
-            self.silent.forget(name);
-        }
         self.note(Decision::Probed {
             target: name.into(),
             result,
--- a/crates/zinniadrift-core/src/steering/state_machine.rs
+++ b/crates/zinniadrift-core/src/steering/state_machine.rs
@@ -13,7 +13,6 @@
 use super::flow_tracker::FlowTracker;
 use super::route_history::RouteHistory;
 use super::route_profile::RouteProfile;
-use super::silent_reports::SilentReports;
 use super::unexplained::Unexplained;
 use super::zone_health::ZoneHealth;
 use super::{
@@ -46,7 +45,6 @@
     /// When any target last showed a sign of life to this balancer.
     pub(super) last_answer: MonoTime,
     pub(super) probes: Vec<TargetProbe>,
-    pub(super) silent: SilentReports,
     pub(super) counters: SteeringCounters,
     pub(super) decisions: Vec<Decision>,
 }
@@ -77,7 +75,6 @@
             next_sweep: MonoTime::default(),
             last_answer: MonoTime::default(),
             probes: Vec::new(),
-            silent: SilentReports::default(),
             counters: SteeringCounters::default(),
             decisions: Vec::new(),
         }
@@ -171,7 +168,6 @@
         self.unknown_routes
             .retain(|address, at| routes.get(*address).is_none() && now.since(at) < memory);
         self.update_medians(now);
-        self.silent.sweep(now);
         for index in self.directory.dead_targets() {
             self.ask_for_probe(now, index);
         }
--- a/crates/zinniadrift-core/src/steering/target_state.rs
+++ b/crates/zinniadrift-core/src/steering/target_state.rs
@@ -5,7 +5,6 @@
 use crate::units::MonoTime;
 
 use super::liveness::Liveness;
-use super::silent_reports::REPORT_LIFE;
 use super::tracked_flow::FlowPhase;
 use super::{InstanceState, TargetInstance};
 
@@ -46,8 +45,6 @@
     unanswered: u32,
     /// Until when it gets no new flow.
     suspect_until: MonoTime,
-    /// When it last answered a caller of this balancer.
-    answered_at: MonoTime,
     /// The smoothed time to answer in microseconds, and its number of samples.
     answer_us: f32,
     samples: u32,
@@ -76,7 +73,6 @@
             flows: 0,
             unanswered: 0,
             suspect_until: MonoTime::default(),
-            answered_at: MonoTime::default(),
             answer_us: 0.0,
             samples: 0,
             last_sample: MonoTime::default(),
@@ -137,23 +133,8 @@
         self.suspect_until = now + base * (1 << doublings);
     }
 
-    /// Records that a peer found the target dead at `at`; an answer seen since counts more.
-    pub(crate) fn note_report(&mut self, at: MonoTime) {
-        if self.answered_at < at {
-            self.liveness.note_report();
-            self.suspect_until = self.suspect_until.max(at + REPORT_LIFE);
-        }
-    }
-
-    /// Records that the target accepted a connection: it is alive, whatever peers reported.
-    pub(crate) fn note_connection(&mut self, now: MonoTime) {
-        self.answered_at = now;
-        self.suspect_until = MonoTime::default();
-    }
-
     /// Records that the target answered.
-    pub(crate) fn note_answer(&mut self, now: MonoTime) {
-        self.answered_at = now;
+    pub(crate) fn note_answer(&mut self) {
         self.unanswered = 0;
         self.suspect_until = MonoTime::default();
         self.liveness.note_answer();
--- a/crates/zinniadrift-runtime/src/steering/daemon.rs
+++ b/crates/zinniadrift-runtime/src/steering/daemon.rs
@@ -24,7 +24,6 @@
 use super::peer_service::PeerService;
 use super::peer_task::PeerTask;
 use super::reload::ReloadTask;
-use super::report_task::ReportTask;
 use super::{Border, EdgeConfig, EdgeSettings, Feed};
 use crate::daemon::{BindSnafu, DaemonError, RunClock};
 
@@ -60,7 +59,6 @@
     let (inputs_tx, inputs) = mpsc::channel(QUEUE);
     let (mark, mark_rx) = watch::channel(StateMark::default());
     let (need_tx, need) = watch::channel(StoreNeed::default());
-    let (peer_tx, peer) = watch::channel(None);
     let (ready, ready_rx) = watch::channel(false);
 
     let histograms = EdgeHistograms::new();
@@ -89,19 +87,11 @@
         usual_age: cfg.watch.usual_age(),
         mark: mark_rx.clone(),
         inputs: inputs_tx.clone(),
-        peer: peer_tx,
         store_failed,
         need: need_tx,
         stop: stop.clone(),
     };
     tasks.spawn(peers.run());
-    let reports = ReportTask {
-        mark: mark_rx.clone(),
-        peer,
-        inputs: inputs_tx.clone(),
-        stop: stop.clone(),
-    };
-    tasks.spawn(reports.run());
     tasks.spawn(serve_readiness(sockets.readiness, ready_rx, stop.clone()));
     if let Some(listener) = sockets.peer {
         let service = PeerService {
--- a/crates/zinniadrift-runtime/src/steering/driver.rs
+++ b/crates/zinniadrift-runtime/src/steering/driver.rs
@@ -208,7 +208,6 @@
             let to = border.encode_reset(flow, seq, out);
             self.send(to, out);
         }
-        self.publish_mark();
     }
 
     fn take(&mut self, input: Input) {
@@ -221,11 +220,6 @@
                 tx.send(self.steering.update_for(now, known))
                     .unwrap_or_default();
             }
-            Input::Reports(reports) => self.steering.on_reports(now, reports),
-            Input::SilentTargets(tx) => {
-                tx.send(self.steering.silent_targets(now))
-                    .unwrap_or_default();
-            }
             Input::Metrics(tx) => tx.send(self.metrics()).unwrap_or_default(),
             Input::Settings(cfg) => {
                 self.stop_within = cfg.stop_within;
@@ -259,13 +253,11 @@
         let known = self.steering.known();
         let changed = self.steering.directory().changed();
         let confirmed = self.steering.confirmed();
-        let reports = self.steering.reports();
         self.mark.send_if_modified(|mark| {
             let new = StateMark {
                 known,
                 changed,
                 confirmed,
-                reports,
                 ..*mark
             };
             std::mem::replace(mark, new) != new
--- a/crates/zinniadrift-runtime/src/steering/input.rs
+++ b/crates/zinniadrift-runtime/src/steering/input.rs
@@ -2,7 +2,7 @@
 
 use tokio::sync::oneshot;
 
-use zinniadrift_core::steering::{KnownState, PeerUpdate, Revision, SilentTarget};
+use zinniadrift_core::steering::{KnownState, PeerUpdate, Revision};
 use zinniadrift_core::units::MonoTime;
 
 use super::{EdgeSettings, Feed, FeedAnswer};
@@ -20,10 +20,6 @@
     Peer(Box<PeerUpdate>),
     /// A peer asks what it misses.
     Question(KnownState, oneshot::Sender<Option<PeerUpdate>>),
-    /// A peer told which targets it found dead.
-    Reports(Vec<SilentTarget>),
-    /// The targets that were found dead are asked for.
-    SilentTargets(oneshot::Sender<Vec<SilentTarget>>),
     /// Somebody asks for the metrics.
     Metrics(oneshot::Sender<String>),
     /// The settings file changed.
@@ -38,23 +34,18 @@
     pub(super) changed: Revision,
     /// When the store last confirmed all of that.
     pub(super) confirmed: Option<MonoTime>,
-    /// Counts the reports of dead targets that peers should know.
-    pub(super) reports: u64,
     /// Counts the pauses of the process; knowledge has to be read again after one.
     pub(super) pauses: u64,
 }
 
 impl StateMark {
-    /// Tells whether a peer that knows `known` misses anything; `before` is the state at its question.
-    pub(super) fn has_news_for(&self, known: KnownState, before: &Self) -> bool {
-        let is_confirmed_anew = match (self.confirmed, before.confirmed) {
+    /// Tells whether a peer that knows `known`, confirmed at `confirmed` or before, misses anything.
+    pub(super) fn has_news_for(&self, known: KnownState, confirmed: Option<MonoTime>) -> bool {
+        let is_confirmed_anew = match (self.confirmed, confirmed) {
             (Some(new), Some(old)) => new >= old + CONFIRMATION_STEP,
             (new, None) => new.is_some(),
             (None, Some(_)) => false,
         };
-        self.changed > known.targets
-            || self.known.version > known.version
-            || self.reports != before.reports
-            || is_confirmed_anew
+        self.changed > known.targets || self.known.version > known.version || is_confirmed_anew
     }
 }
--- a/crates/zinniadrift-runtime/src/steering/mod.rs
+++ b/crates/zinniadrift-runtime/src/steering/mod.rs
@@ -16,7 +16,6 @@
 mod peer_task;
 mod probe;
 mod reload;
-mod report_task;
 
 pub use border::{Border, Feed, FeedAnswer, Update};
 pub use daemon::run_edge;
--- a/crates/zinniadrift-runtime/src/steering/peer_message.rs
+++ b/crates/zinniadrift-runtime/src/steering/peer_message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use zinniadrift_core::steering::{KnownState, PeerName, PeerUpdate, SilentTarget};
+use zinniadrift_core::steering::{KnownState, PeerName, PeerUpdate};
 
 /// Asks a peer for what the asking balancer misses.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -24,10 +24,3 @@
     /// The peers to ask instead.
     Ask(Vec<SocketAddr>),
 }
-
-/// Tells a peer which targets were found dead.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub(super) struct PeerReports {
-    /// The targets.
-    pub(super) silent: Vec<SilentTarget>,
-}
--- a/crates/zinniadrift-runtime/src/steering/peer_service.rs
+++ b/crates/zinniadrift-runtime/src/steering/peer_service.rs
@@ -12,15 +12,13 @@
 
 use super::front::{JSON, respond};
 use super::input::{Input, StateMark};
-use super::peer_message::{PeerAnswer, PeerQuestion, PeerReports};
+use super::peer_message::{PeerAnswer, PeerQuestion};
 use crate::daemon::RunClock;
 
 /// Where a balancer asks a peer for news.
 pub(super) const NEWS_PATH: &str = "/steering/news";
-/// Where a balancer tells a peer which targets it found dead.
-pub(super) const REPORTS_PATH: &str = "/steering/reports";
-/// The longest message that is read, in bytes: reports about a thousand targets.
-const MAX_MESSAGE: usize = 64 * 1_024;
+/// The longest question that is read, in bytes.
+const MAX_QUESTION: usize = 4_096;
 /// The longest wait that a peer may ask for.
 const MAX_WAIT: Duration = Duration::from_secs(10);
 
@@ -34,37 +32,14 @@
 }
 
 impl PeerService {
-    /// Answers one request.
-    pub(super) async fn answer(self, req: Request<Incoming>) -> Response<Full<Bytes>> {
-        let is_news = match req.uri().path() {
-            NEWS_PATH => true,
-            REPORTS_PATH => false,
-            _ => return respond(StatusCode::NOT_FOUND, JSON, Vec::new()),
-        };
-        let body = Limited::new(req.into_body(), MAX_MESSAGE).collect().await;
-        let Ok(body) = body.map(http_body_util::Collected::to_bytes) else {
-            return respond(StatusCode::BAD_REQUEST, JSON, Vec::new());
-        };
-        if is_news {
-            self.tell_news(&body).await
-        } else {
-            self.take_reports(&body).await
+    /// Answers one request: at once if there is news or no place, else after the wait asked for.
+    pub(super) async fn answer(mut self, req: Request<Incoming>) -> Response<Full<Bytes>> {
+        if req.uri().path() != NEWS_PATH {
+            return respond(StatusCode::NOT_FOUND, JSON, Vec::new());
         }
-    }
-
-    async fn take_reports(self, body: &[u8]) -> Response<Full<Bytes>> {
-        let Ok(reports) = serde_json::from_slice::<PeerReports>(body) else {
-            return respond(StatusCode::BAD_REQUEST, JSON, Vec::new());
-        };
-        // The driver is gone only when the process stops.
-        let taken = self.inputs.send(Input::Reports(reports.silent)).await;
-        taken.unwrap_or_default();
-        respond(StatusCode::OK, JSON, Vec::new())
-    }
-
-    /// Answers at once if there is news or no place, else after the wait asked for.
-    async fn tell_news(mut self, body: &[u8]) -> Response<Full<Bytes>> {
-        let question = serde_json::from_slice::<PeerQuestion>(body).ok();
+        let body = Limited::new(req.into_body(), MAX_QUESTION).collect().await;
+        let question = body.ok().map(|b| b.to_bytes());
+        let question = question.and_then(|b| serde_json::from_slice::<PeerQuestion>(&b).ok());
         let Some(question) = question else {
             return respond(StatusCode::BAD_REQUEST, JSON, Vec::new());
         };
@@ -72,10 +47,10 @@
             return resp;
         }
         let wait = Duration::from_millis(question.wait_ms).min(MAX_WAIT);
-        let before = *self.mark.borrow();
+        let confirmed = self.mark.borrow().confirmed;
         let news = self
             .mark
-            .wait_for(|m| m.has_news_for(question.known, &before));
+            .wait_for(|m| m.has_news_for(question.known, confirmed));
         // Without news in time the answer still tells how current this balancer is.
         let _waited = tokio::time::timeout(wait, news).await.is_ok();
         let (tx, rx) = oneshot::channel();
--- a/crates/zinniadrift-runtime/src/steering/peer_task.rs
+++ b/crates/zinniadrift-runtime/src/steering/peer_task.rs
@@ -2,10 +2,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::Full;
-use serde::Serialize;
 use tokio::sync::{Notify, mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
@@ -42,8 +40,6 @@
     pub(super) usual_age: Duration,
     pub(super) mark: watch::Receiver<StateMark>,
     pub(super) inputs: mpsc::Sender<Input>,
-    /// Tells which peer is asked.
-    pub(super) peer: watch::Sender<Option<SocketAddr>>,
     /// Is notified of every failed call to the store.
     pub(super) store_failed: Arc<Notify>,
     /// Tells the feeds why the store has to be called.
@@ -68,7 +64,6 @@
             let mut choice = RelayChoice::new(others, self.spread, is_relay, self.usual_age);
             self.need.send_replace(choice.store_need());
             while !self.relays.has_changed().unwrap_or(true) {
-                self.peer.send_replace(choice.peer());
                 let Some(peer) = choice.peer() else {
                     break;
                 };
@@ -162,32 +157,18 @@
     question: &PeerQuestion,
     limit: Duration,
 ) -> Result<PeerAnswer, StoreError> {
-    let body = post(transport, peer, NEWS_PATH, question, limit).await?;
-    serde_json::from_slice(&body).map_err(unreadable)
-}
-
-/// Sends a message to a peer and returns its answer.
-pub(super) async fn post(
-    transport: &HttpTransport,
-    peer: SocketAddr,
-    path: &str,
-    message: &impl Serialize,
-    limit: Duration,
-) -> Result<Bytes, StoreError> {
-    let body = serde_json::to_vec(message).map_err(unreadable)?;
-    let uri = format!("http://{peer}{path}");
+    let unreadable = |e: &dyn std::fmt::Display| StoreError::Unavailable {
+        reason: e.to_string().into(),
+    };
+    let body = serde_json::to_vec(question).map_err(|e| unreadable(&e))?;
+    let uri = format!("http://{peer}{NEWS_PATH}");
     let req = Request::post(uri).body(Full::new(body.into()));
-    let (status, body) = transport.call(req.map_err(unreadable)?, limit).await?;
+    let req = req.map_err(|e| unreadable(&e))?;
+    let (status, body) = transport.call(req, limit).await?;
     if status != StatusCode::OK {
         return Err(StoreError::Refused {
             status: status.as_u16(),
         });
     }
-    Ok(body)
-}
-
-fn unreadable(e: impl std::fmt::Display) -> StoreError {
-    StoreError::Unavailable {
-        reason: e.to_string().into(),
-    }
+    serde_json::from_slice(&body).map_err(|e| unreadable(&e))
 }
