--- /dev/null
+++ b/crates/zinniadrift-core/benches/steering.rs
@@ -0,0 +1,122 @@
+//! Measures the decision for one packet of a known and of a new flow when cookies name targets.
+
+use std::hint::black_box;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::Duration;
+
+use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
+use zinniadrift_core::flow::FlowKey;
+use zinniadrift_core::ids::ServiceId;
+use zinniadrift_core::steering::{
+    Backend, Cookie, DirectoryListing, InstanceState, Route, RouteKind, RouteTable, Segment,
+    SegmentKind, Steering, SteeringSettings, TargetInstance, Verdict,
+};
+use zinniadrift_core::units::{MonoTime, Version};
+
+/// Open flows, of which the balancer observes as many as its settings allow.
+const FLOWS: u32 = 16_000;
+/// Targets of the service; the largest one of the grown sites has 120.
+const TARGETS: u8 = 120;
+const ADDRESS: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443);
+
+fn target(n: u8) -> TargetInstance {
+    TargetInstance {
+        name: format!("i-{n:010x}").into(),
+        service: ServiceId::from_name("gradebook"),
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 128, 0, n), 8_080),
+        zone: ["lowell", "nashua", "concord"][usize::from(n) % 3].into(),
+        guard: u64::from(n).into(),
+        slots: 2,
+        state: InstanceState::Ready,
+        warm_up: Duration::ZERO,
+        born_ms: None,
+    }
+}
+
+fn route() -> Route {
+    Route {
+        name: "gradebook".into(),
+        address: ADDRESS,
+        backends: vec![Backend {
+            service: ServiceId::from_name("gradebook"),
+            weight: 1,
+        }],
+        kind: RouteKind::Idempotent,
+        priority: 1,
+    }
+}
+
+fn segment(n: u32, kind: SegmentKind, cookie: Cookie) -> Segment {
+    Segment {
+        flow: FlowKey {
+            // Neighbouring numbers must not be neighbouring callers, as they would share cache lines.
+            caller: SocketAddrV4::new(Ipv4Addr::from_bits(n.wrapping_mul(2_654_435_761)), 40_000),
+            service: ADDRESS,
+        },
+        kind,
+        cookie,
+        seq: 1,
+        ack: 1,
+        len: 0,
+    }
+}
+
+fn open(core: &mut Steering, now: MonoTime, n: u32) -> Cookie {
+    let opening = segment(n, SegmentKind::Open { copies: 0 }, Cookie::NONE);
+    let Verdict::Forward { cookie, .. } = core.on_segment(now, &opening) else {
+        return Cookie::NONE;
+    };
+    core.on_segment(now, &segment(n, SegmentKind::Middle, cookie));
+    cookie
+}
+
+/// Returns a balancer with open flows, their cookies and the time.
+fn balancer(flows: u32) -> (Steering, Vec<Cookie>, MonoTime) {
+    let cfg = SteeringSettings {
+        zone: "lowell".into(),
+        ..SteeringSettings::default()
+    };
+    let mut core = Steering::new(cfg, 7);
+    let now = MonoTime::from_millis(1_000);
+    let as_of = 1.into();
+    let targets = (0..TARGETS).map(target).collect();
+    core.on_listing(now, Some(now), DirectoryListing { as_of, targets });
+    let table = RouteTable::new(Version::from(1), Duration::from_secs(60), vec![route()]);
+    core.on_routes(now, Some(now), as_of, Arc::new(table));
+    let cookies = (0..flows).map(|n| open(&mut core, now, n)).collect();
+    (core, cookies, now)
+}
+
+fn known(c: &mut Criterion) {
+    let (mut core, cookies, now) = balancer(FLOWS);
+    let mut n = 0;
+    c.bench_function("steering known", |b| {
+        b.iter(|| {
+            n = (n + 1) % FLOWS;
+            let seg = segment(n, SegmentKind::Middle, cookies[n as usize]);
+            let verdict = black_box(core.on_segment(now, &seg));
+            core.take_decisions().for_each(drop);
+            verdict
+        });
+    });
+}
+
+fn new(c: &mut Criterion) {
+    c.bench_function("steering new, 1000 flows", |b| {
+        b.iter_batched_ref(
+            || balancer(FLOWS / 2),
+            |(core, _, now)| {
+                for n in FLOWS..FLOWS + 1_000 {
+                    let opening = segment(n, SegmentKind::Open { copies: 0 }, Cookie::NONE);
+                    black_box(core.on_segment(*now, &opening));
+                    core.take_decisions().for_each(drop);
+                }
+            },
+            BatchSize::LargeInput,
+        );
+    });
+}
+
+criterion_group!(benches, known, new);
+criterion_main!(benches);
