Measure how late a change can be in use

change_bound_seconds tells, by feed, the time since the confirmation before a change: it cannot have been made earlier. The store gives no time of a change, and clocks of hosts differ.

--- a/crates/zinniadrift-runtime/src/steering/driver.rs
+++ b/crates/zinniadrift-runtime/src/steering/driver.rs
@@ -9,9 +9,9 @@
 use tokio_util::sync::CancellationToken;
 
 use zinniadrift_core::steering::{
-    AbandonedFlow, FanOut, PauseWatch, ProbeResult, Steering, Verdict,
+    AbandonedFlow, FanOut, PauseWatch, ProbeResult, Revision, Steering, Verdict,
 };
-use zinniadrift_core::units::MonoTime;
+use zinniadrift_core::units::{MonoTime, Version};
 
 use super::decision_log::DecisionLog;
 use super::driver_counters::DriverCounters;
@@ -36,6 +36,14 @@
     Tick,
 }
 
+/// Tells which state of the store is known and since when it may be outdated.
+struct Freshness {
+    changed: Revision,
+    version: Version,
+    directory_age: Option<Duration>,
+    routes_age: Option<Duration>,
+}
+
 /// Moves packets between the socket and the core.
 pub(super) struct Driver<B> {
     pub(super) border: watch::Receiver<Arc<B>>,
@@ -212,6 +220,7 @@
 
     fn take(&mut self, input: Input) {
         let now = self.clock.now();
+        let before = self.freshness(now);
         match input {
             Input::Store(feed, answer) => self.take_answer(now, feed, answer),
             Input::Peer(update) => self.steering.on_peer_update(now, *update),
@@ -226,9 +235,35 @@
                 self.steering.set_settings(cfg.steering);
             }
         }
+        self.observe_changes(now, &before);
         self.publish_mark();
     }
 
+    fn freshness(&self, now: MonoTime) -> Freshness {
+        Freshness {
+            changed: self.steering.directory().changed(),
+            version: self.steering.routes().version(),
+            directory_age: self.steering.directory_known().age(now),
+            routes_age: self.steering.routes_known().age(now),
+        }
+    }
+
+    /// Records how old the changes can be that were not known before.
+    fn observe_changes(&self, now: MonoTime, before: &Freshness) {
+        let after = self.freshness(now);
+        let new_targets = after.changed > before.changed;
+        let new_routes = after.version > before.version;
+        for (feed, is_new, age) in [
+            (Feed::Targets, new_targets, before.directory_age),
+            (Feed::Routes, new_routes, before.routes_age),
+        ] {
+            // Before the first confirmation nothing is known about its age.
+            if let Some(age) = age.filter(|_| is_new) {
+                self.histograms.observe_change(feed, age);
+            }
+        }
+    }
+
     fn take_answer(&mut self, now: MonoTime, feed: Feed, answer: FeedAnswer) {
         let as_of = answer.as_of;
         tracing::debug!(%feed, %as_of, changed = answer.update.is_some(), "store answered");
--- a/crates/zinniadrift-runtime/src/steering/edge_metrics.rs
+++ b/crates/zinniadrift-runtime/src/steering/edge_metrics.rs
@@ -247,7 +247,7 @@
     ),
 ];
 
-pub(crate) const HISTOGRAMS: [Metric; 2] = [
+pub(crate) const HISTOGRAMS: [Metric; 3] = [
     Metric::histogram(
         "answer_seconds",
         "s",
@@ -258,6 +258,11 @@
         "s",
         "time of calls to the store, by feed and result",
     ),
+    Metric::histogram(
+        "change_bound_seconds",
+        "s",
+        "longest possible time from a change in the store to its use: since the confirmation before it, by feed",
+    ),
 ];
 
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
@@ -265,6 +270,11 @@
     service: String,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct FeedLabel {
+    feed: String,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct CallLabel {
     feed: String,
@@ -276,6 +286,7 @@
 pub(super) struct EdgeHistograms {
     answers: Family<ServiceLabel, Histogram>,
     calls: Family<CallLabel, Histogram>,
+    changes: Family<FeedLabel, Histogram>,
 }
 
 /// The smallest bucket is 1 ms, below the fastest call; the 14th is 8 s, beyond every deadline.
@@ -291,6 +302,7 @@
         Self {
             answers: Family::new_with_constructor(histogram),
             calls: Family::new_with_constructor(histogram),
+            changes: Family::new_with_constructor(histogram),
         }
     }
 
@@ -311,6 +323,14 @@
         self.calls.get_or_create(&label).observe(took.as_secs_f64());
     }
 
+    pub(super) fn observe_change(&self, feed: Feed, bound: Duration) {
+        let label = FeedLabel {
+            feed: feed.to_string(),
+        };
+        let changes = self.changes.get_or_create(&label);
+        changes.observe(bound.as_secs_f64());
+    }
+
     /// Returns all metrics as text.
     pub(super) fn render(
         &self,
@@ -319,9 +339,10 @@
         now: MonoTime,
     ) -> Result<String, Error> {
         let mut registry = Registry::with_prefix(EDGE_METRIC_PREFIX);
-        let [answers, calls] = HISTOGRAMS;
+        let [answers, calls, changes] = HISTOGRAMS;
         registry.register(answers.name, answers.meaning, self.answers.clone());
         registry.register(calls.name, calls.meaning, self.calls.clone());
+        registry.register(changes.name, changes.meaning, self.changes.clone());
         registry.register_collector(Box::new(Values::read(steering, driver, now)));
         let mut text = String::new();
         encode(&mut text, &registry)?;
--- a/tests/testsuite/edge_processes.rs
+++ b/tests/testsuite/edge_processes.rs
@@ -219,6 +219,9 @@
             assert!(Instant::now() < deadline, "balancer {n} has the old routes");
             sleep(Duration::from_millis(50)).await;
         }
+        let text = get(metrics(n), "/metrics").await.unwrap();
+        let changes = "zinniadrift_edge_change_bound_seconds_count{feed=\"routes\"}";
+        assert_eq!(gauge(&text, changes), Some(1), "balancer {n}");
     }
     w.stop(true).await;
 }
