--- a/crates/zinniadrift-core/src/steering/liveness.rs
+++ b/crates/zinniadrift-core/src/steering/liveness.rs
@@ -29,6 +29,8 @@
     Refused,
     /// There was no answer in time.
     Silent,
+    /// It was accepted, but a later entry names the address: the next owner answered.
+    NextOwner,
     /// The probe could not be made.
     NotMade,
 }
@@ -69,12 +71,17 @@
     pub(crate) fn on_probe(&mut self, result: ProbeResult) -> bool {
         match result {
             ProbeResult::Accepted => self.note_connection(),
-            ProbeResult::Refused | ProbeResult::Silent if self.repeats >= REPEATS => {
+            ProbeResult::Refused | ProbeResult::Silent | ProbeResult::NextOwner
+                if self.repeats >= REPEATS =>
+            {
                 self.has_died = true;
                 let was_dead = std::mem::replace(&mut self.is_dead, true);
                 return !was_dead;
             }
-            ProbeResult::Refused | ProbeResult::Silent | ProbeResult::NotMade => {}
+            ProbeResult::Refused
+            | ProbeResult::Silent
+            | ProbeResult::NextOwner
+            | ProbeResult::NotMade => {}
         }
         false
     }
--- a/crates/zinniadrift-core/src/steering/probing.rs
+++ b/crates/zinniadrift-core/src/steering/probing.rs
@@ -83,22 +83,24 @@
         let Some(index) = self.directory.find_name(name) else {
             return Vec::new();
         };
-        // The later owner of an address accepts connections there.
         let result = match result {
-            ProbeResult::Accepted if self.directory.has_successor(index) => ProbeResult::Refused,
+            ProbeResult::Accepted if self.directory.has_successor(index) => ProbeResult::NextOwner,
             other => other,
         };
         let cut_off = now.since(self.last_answer) > CUT_OFF_AFTER;
         let doubtful = cut_off || self.directory.is_mostly_dead_without(index);
         let judged = match result {
-            ProbeResult::Refused | ProbeResult::Silent if doubtful => ProbeResult::NotMade,
+            ProbeResult::Refused | ProbeResult::Silent | ProbeResult::NextOwner if doubtful => {
+                ProbeResult::NotMade
+            }
             other => other,
         };
         let Some(record) = self.directory.get_mut(index) else {
             return Vec::new();
         };
         let is_lapsed = matches!(record.presence, Presence::Lapsed { .. });
-        let has_ended = is_lapsed && result == ProbeResult::Refused;
+        let is_vacant = matches!(result, ProbeResult::Refused | ProbeResult::NextOwner);
+        let has_ended = is_lapsed && is_vacant;
         if has_ended {
             record.presence = Presence::Gone { at: now };
         }
