--- a/crates/zinniadrift-runtime/src/steering/input.rs
+++ b/crates/zinniadrift-runtime/src/steering/input.rs
@@ -8,7 +8,7 @@
 use super::{EdgeSettings, Feed, FeedAnswer};
 
 /// The least progress of the store's confirmation that is news on its own; without changes the
-/// store confirms every four seconds.
+/// store confirms once in each wait of a watch.
 const CONFIRMATION_STEP: Duration = Duration::from_secs(1);
 
 /// Is what tasks send to the driver.
