--- a/crates/zinniadrift-core/src/steering/directory.rs
+++ b/crates/zinniadrift-core/src/steering/directory.rs
@@ -1,3 +1,4 @@
+use std::hash::Hash;
 use std::time::Duration;
 
 use hashbrown::{HashMap, HashSet};
@@ -164,7 +165,7 @@
         let after = instance.service;
         record.update(instance, now);
         if before != after {
-            self.unlink_service(before, index);
+            unlink(&mut self.by_service, &before, index);
             self.by_service.entry(after).or_default().push(index);
         }
     }
@@ -172,12 +173,13 @@
     fn insert(&mut self, instance: TargetInstance, now: MonoTime) {
         let index = TargetIndex(self.next);
         self.next = self.next.wrapping_add(1);
-        let tag = TargetTag::from_name(&instance.name);
+        let record = TargetRecord::new(instance, now);
+        let instance = &record.instance;
         self.by_name.insert(instance.name.clone(), index);
-        self.by_tag.entry(tag).or_default().push(index);
+        self.by_tag.entry(record.tag).or_default().push(index);
         let service = self.by_service.entry(instance.service).or_default();
         service.push(index);
-        self.records.insert(index, TargetRecord::new(instance, now));
+        self.records.insert(index, record);
     }
 
     fn remove(&mut self, name: &str, now: MonoTime) {
@@ -223,23 +225,8 @@
             return;
         };
         self.by_name.remove(&record.instance.name);
-        let tag = TargetTag::from_name(&record.instance.name);
-        if let Some(list) = self.by_tag.get_mut(&tag) {
-            list.retain(|i| *i != index);
-            if list.is_empty() {
-                self.by_tag.remove(&tag);
-            }
-        }
-        self.unlink_service(record.instance.service, index);
-    }
-
-    fn unlink_service(&mut self, service: ServiceId, index: TargetIndex) {
-        if let Some(list) = self.by_service.get_mut(&service) {
-            list.retain(|i| *i != index);
-            if list.is_empty() {
-                self.by_service.remove(&service);
-            }
-        }
+        unlink(&mut self.by_tag, &record.tag, index);
+        unlink(&mut self.by_service, &record.instance.service, index);
     }
 
     /// Returns the target that a tag names.
@@ -300,7 +287,7 @@
     /// Tells whether the target owns its tag, so that its cookie names no other target.
     pub(crate) fn owns_tag(&self, index: TargetIndex) -> bool {
         let record = self.get(index);
-        record.is_some_and(|r| self.find(TargetTag::from_name(&r.instance.name)) == Some(index))
+        record.is_some_and(|r| self.find(r.tag) == Some(index))
     }
 
     pub(crate) fn get(&self, index: TargetIndex) -> Option<&TargetRecord> {
@@ -320,3 +307,13 @@
         self.by_service.get(&service).map_or(&[], Vec::as_slice)
     }
 }
+
+/// Takes a target out of the list under `key`, and an empty list out of the map.
+fn unlink<K: Eq + Hash>(lists: &mut HashMap<K, Vec<TargetIndex>>, key: &K, index: TargetIndex) {
+    if let Some(list) = lists.get_mut(key) {
+        list.retain(|i| *i != index);
+        if list.is_empty() {
+            lists.remove(key);
+        }
+    }
+}
--- a/crates/zinniadrift-core/src/steering/open_flows.rs
+++ b/crates/zinniadrift-core/src/steering/open_flows.rs
@@ -114,11 +114,10 @@
         let Some(record) = self.directory.get(index) else {
             return Verdict::Drop(DropReason::DirectoryStale);
         };
-        let tag = TargetTag::from_name(&record.instance.name);
         Verdict::Forward {
             to: record.instance.address,
             guard: record.instance.guard,
-            cookie: Cookie::seal(tag, seg.flow.service),
+            cookie: Cookie::seal(record.tag, seg.flow.service),
         }
     }
 }
--- a/crates/zinniadrift-core/src/steering/target_state.rs
+++ b/crates/zinniadrift-core/src/steering/target_state.rs
@@ -4,6 +4,7 @@
 
 use crate::units::MonoTime;
 
+use super::cookie::TargetTag;
 use super::liveness::Liveness;
 use super::tracked_flow::FlowPhase;
 use super::{InstanceState, TargetInstance};
@@ -32,6 +33,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct TargetRecord {
     pub(crate) instance: TargetInstance,
+    /// What cookies call the target; it follows from the name and is needed for every packet.
+    pub(crate) tag: TargetTag,
     pub(crate) presence: Presence,
     /// When the instance stops being slow from its start.
     pub(crate) warm_at: MonoTime,
@@ -65,6 +68,7 @@
     pub(crate) fn new(instance: TargetInstance, now: MonoTime) -> Self {
         let warm_at = now + instance.warm_up;
         Self {
+            tag: TargetTag::from_name(&instance.name),
             instance,
             presence: Presence::Listed,
             warm_at,
