Share what the platform's program wrote again

Reading and parsing a settings file, the exit code of a daemon, and the error of a call without a usable answer existed in the runtime and the store client; the edge program and the peers' questions now call them. Opened and adopted flows are counted in one place, and the choice of a peer keeps one counter instead of two that moved together. Tests of the processes share their start.

Comments said the wrong thing about the pause after an urgent question and about which unexplained keys are forgotten.

--- a/crates/zinniadrift-core/src/steering/flow_tracker.rs
+++ b/crates/zinniadrift-core/src/steering/flow_tracker.rs
@@ -74,20 +74,18 @@
             .filter(|f| f.phase == FlowPhase::Opening && f.target != target)
             .map(|f| f.target);
         let flow = TrackedFlow {
-            target,
             tried,
-            phase: FlowPhase::Opening,
-            last_ack: 0,
-            next_seq: seg.seq,
-            seen: now,
-            requests: 0,
-            bytes: 0,
+            ..TrackedFlow::new(target, FlowPhase::Opening, now, seg)
         };
-        self.flows.insert(seg.flow, flow);
-        if let Some(record) = dir.get_mut(target) {
+        self.insert(dir, seg.flow, flow);
+    }
+
+    fn insert(&mut self, dir: &mut Directory, key: FlowKey, flow: TrackedFlow) {
+        if let Some(record) = dir.get_mut(flow.target) {
             record.flows += 1;
-            record.enter(FlowPhase::Opening);
+            record.enter(flow.phase);
         }
+        self.flows.insert(key, flow);
     }
 
     /// Records a packet of an open flow that goes to `target`; tells whether it shows an answer.
@@ -172,19 +170,10 @@
             return false;
         }
         let flow = TrackedFlow {
-            target,
-            tried: None,
-            phase: FlowPhase::Idle,
             last_ack: seg.ack,
-            next_seq: seg.seq,
-            seen: now,
-            requests: 0,
-            bytes: 0,
+            ..TrackedFlow::new(target, FlowPhase::Idle, now, seg)
         };
-        self.flows.insert(seg.flow, flow);
-        if let Some(record) = dir.get_mut(target) {
-            record.flows += 1;
-        }
+        self.insert(dir, seg.flow, flow);
         true
     }
 
@@ -242,6 +231,19 @@
 }
 
 impl TrackedFlow {
+    fn new(target: TargetIndex, phase: FlowPhase, now: MonoTime, seg: &Segment) -> Self {
+        Self {
+            target,
+            tried: None,
+            phase,
+            last_ack: 0,
+            next_seq: seg.seq,
+            seen: now,
+            requests: 0,
+            bytes: 0,
+        }
+    }
+
     pub(crate) fn summary(&self) -> FlowSummary {
         FlowSummary {
             requests: self.requests,
--- a/crates/zinniadrift-core/src/steering/relay_choice.rs
+++ b/crates/zinniadrift-core/src/steering/relay_choice.rs
@@ -12,9 +12,10 @@
 #[derive(Clone, Debug)]
 pub struct RelayChoice {
     relays: Vec<SocketAddr>,
-    turn: usize,
-    /// Spreads the balancers over the peers that a relay refers to.
+    /// Spreads the balancers over the relays and the peers that these refer to.
     spread: usize,
+    /// The number of peers left so far, which chooses another one.
+    turn: usize,
     is_relay: bool,
     /// The age of a confirmation from which another relay may know more.
     usual_age: Duration,
@@ -50,8 +51,8 @@
     ) -> Self {
         Self {
             relays,
-            turn: spread,
             spread,
+            turn: 0,
             is_relay,
             usual_age,
             current: false,
@@ -64,8 +65,11 @@
 
     /// Returns the peer to ask; `None` if there is none.
     pub fn peer(&self) -> Option<SocketAddr> {
-        let relay = || self.relays.get(self.turn.checked_rem(self.relays.len())?);
-        self.referred.or_else(|| relay().copied())
+        let position = || {
+            let choice = self.spread.wrapping_add(self.turn);
+            choice.checked_rem(self.relays.len())
+        };
+        self.referred.or_else(|| Some(self.relays[position()?]))
     }
 
     /// Returns how long the peer may wait for news before it answers.
@@ -102,8 +106,10 @@
     ///
     /// Returns whether one of them is to be asked; too many referrals count as a fault.
     pub fn on_referral(&mut self, peers: &[SocketAddr]) -> bool {
-        let spread = self.spread / self.relays.len().max(1) + self.referrals;
-        let position = spread.checked_rem(peers.len());
+        // Balancers that share a relay differ in the rest.
+        let rest = self.spread / self.relays.len().max(1);
+        let choice = rest.wrapping_add(self.turn + self.referrals);
+        let position = choice.checked_rem(peers.len());
         match position.and_then(|p| peers.get(p)) {
             Some(peer) if self.referrals < MAX_REFERRALS => {
                 self.referrals += 1;
@@ -132,8 +138,6 @@
         self.turn = self.turn.wrapping_add(1);
         self.referred = None;
         self.referrals = 0;
-        // Another peer is chosen if the next relay refers to the same ones.
-        self.spread = self.spread.wrapping_add(self.relays.len());
     }
 
     /// Tells whether the balancer has to watch the store itself.
--- a/crates/zinniadrift-core/src/steering/unexplained.rs
+++ b/crates/zinniadrift-core/src/steering/unexplained.rs
@@ -30,7 +30,7 @@
         *self.first_seen.entry(key).or_insert(now)
     }
 
-    /// Forgets keys that `explained` holds for.
+    /// Forgets the keys that `keep` does not hold for.
     pub(crate) fn retain(&mut self, mut keep: impl FnMut(&K, MonoTime) -> bool) {
         self.first_seen.retain(|key, at| keep(key, *at));
     }
--- a/crates/zinniadrift-runtime/src/daemon/command_line.rs
+++ b/crates/zinniadrift-runtime/src/daemon/command_line.rs
@@ -72,7 +72,12 @@
 where
     F: AsyncFnOnce(DaemonSettings) -> Result<(), DaemonError>,
 {
-    match try_run(name, about, daemon) {
+    exit_code(name, try_run(name, about, daemon))
+}
+
+/// Returns the exit code of the program `name`, and says on standard error why it failed.
+pub fn exit_code(name: &str, result: Result<(), DaemonError>) -> ExitCode {
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("{name}: {e}");
--- a/crates/zinniadrift-runtime/src/daemon/daemon_settings.rs
+++ b/crates/zinniadrift-runtime/src/daemon/daemon_settings.rs
@@ -2,11 +2,10 @@
 use std::path::Path;
 
 use serde::{Deserialize, Serialize};
-use snafu::ResultExt;
 
 use zinniadrift_core::ids::ZoneName;
 
-use super::daemon_error::{InvalidSettingsSnafu, ReadSettingsSnafu};
+use super::settings_file::{parse_settings, read_settings};
 use super::{DaemonError, Seed};
 
 /// Holds the settings file of one daemon.
@@ -49,20 +48,6 @@
     ///
     /// Fails if the file cannot be read or does not have the expected shape.
     pub fn load(path: &Path) -> Result<Self, DaemonError> {
-        let shown: Box<str> = path.display().to_string().into();
-        let text = std::fs::read(path).context(ReadSettingsSnafu {
-            path: shown.clone(),
-        })?;
-        let mut de = serde_json::Deserializer::from_slice(&text);
-        serde_path_to_error::deserialize(&mut de).map_err(|e| {
-            let json_path = format!("$.{}", e.path());
-            let text = e.inner().to_string();
-            InvalidSettingsSnafu {
-                path: shown,
-                json_path,
-                text,
-            }
-            .build()
-        })
+        parse_settings(&read_settings(path)?, &path.display().to_string())
     }
 }
--- a/crates/zinniadrift-runtime/src/daemon/mod.rs
+++ b/crates/zinniadrift-runtime/src/daemon/mod.rs
@@ -7,11 +7,11 @@
 mod role;
 mod run_clock;
 mod seed;
+mod settings_file;
 mod shared_tasks;
 mod shutdown;
 
-pub use command_line::{CommandLine, Mode, run};
-
+pub use command_line::{CommandLine, Mode, exit_code, run};
 pub use daemon_error::{
     BindSnafu, DaemonError, InvalidSettingsSnafu, ReadSettingsSnafu, UsageSnafu,
 };
@@ -20,5 +20,6 @@
 pub use role::Role;
 pub use run_clock::RunClock;
 pub use seed::Seed;
+pub use settings_file::{parse_settings, read_settings};
 pub(crate) use shared_tasks::{Outlets, SharedInputs, SharedTasks};
 pub use shutdown::shutdown_signal;
--- a/crates/zinniadrift-runtime/src/steering/peer_task.rs
+++ b/crates/zinniadrift-runtime/src/steering/peer_task.rs
@@ -20,9 +20,9 @@
 const ANSWER_LIMIT: Duration = Duration::from_millis(300);
 /// The pause after a peer did not answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
-
-/// The same for a newcomer, which takes no packets before it knows something.
-const NEWCOMER_PAUSE: Duration = Duration::from_millis(30);
+/// The same after a question that was not to wait: a newcomer takes no packets before it knows
+/// something, and a balancer whose peer may have lost the store asks all relays in turn.
+const URGENT_PAUSE: Duration = Duration::from_millis(30);
 
 /// How long a newcomer waits for the store's first lists: those of the planned 3,500 targets take a
 /// second on a link of 10 Mbit/s.
@@ -131,7 +131,7 @@
                 tracing::debug!(%peer, error = %e, "peer did not answer");
                 choice.on_fault();
                 if wait.is_zero() {
-                    NEWCOMER_PAUSE
+                    URGENT_PAUSE
                 } else {
                     RETRY_PAUSE
                 }
@@ -157,18 +157,15 @@
     question: &PeerQuestion,
     limit: Duration,
 ) -> Result<PeerAnswer, StoreError> {
-    let unreadable = |e: &dyn std::fmt::Display| StoreError::Unavailable {
-        reason: e.to_string().into(),
-    };
-    let body = serde_json::to_vec(question).map_err(|e| unreadable(&e))?;
+    let body = serde_json::to_vec(question).map_err(StoreError::unavailable)?;
     let uri = format!("http://{peer}{NEWS_PATH}");
     let req = Request::post(uri).body(Full::new(body.into()));
-    let req = req.map_err(|e| unreadable(&e))?;
+    let req = req.map_err(StoreError::unavailable)?;
     let (status, body) = transport.call(req, limit).await?;
     if status != StatusCode::OK {
         return Err(StoreError::Refused {
             status: status.as_u16(),
         });
     }
-    serde_json::from_slice(&body).map_err(|e| unreadable(&e))
+    serde_json::from_slice(&body).map_err(StoreError::unavailable)
 }
--- a/crates/zinniadrift-store/src/http_store.rs
+++ b/crates/zinniadrift-store/src/http_store.rs
@@ -7,7 +7,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
-use crate::http_transport::{HttpTransport, unavailable};
+use crate::http_transport::HttpTransport;
 use crate::{Object, ObjectStore, Precondition, StoreError};
 
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -57,7 +57,9 @@
         let req = self.request(Method::GET, path, Bytes::new(), Precondition::None);
         let (status, body) = self.transport.call(req, timeout).await?;
         match status {
-            StatusCode::OK => serde_json::from_slice(&body).map(Some).map_err(unavailable),
+            StatusCode::OK => serde_json::from_slice(&body)
+                .map(Some)
+                .map_err(StoreError::unavailable),
             StatusCode::NOT_FOUND => Ok(None),
             status => Err(from_status(status, path)),
         }
@@ -79,7 +81,7 @@
         let req = self.request(Method::PUT, &path, value.to_string().into(), pre);
         let (status, body) = self.transport.call(req, self.timeout).await?;
         match status {
-            StatusCode::OK => serde_json::from_slice(&body).map_err(unavailable),
+            StatusCode::OK => serde_json::from_slice(&body).map_err(StoreError::unavailable),
             status => Err(from_status(status, key)),
         }
     }
@@ -100,9 +102,9 @@
     match status {
         StatusCode::PRECONDITION_FAILED => StoreError::Conflict { key: key.into() },
         // A call over the rate limit had no effect and may be repeated.
-        s if s.is_server_error() || s == StatusCode::TOO_MANY_REQUESTS => StoreError::Unavailable {
-            reason: s.to_string().into(),
-        },
+        s if s.is_server_error() || s == StatusCode::TOO_MANY_REQUESTS => {
+            StoreError::unavailable(s)
+        }
         s => StoreError::Refused { status: s.as_u16() },
     }
 }
--- a/crates/zinniadrift-store/src/http_transport.rs
+++ b/crates/zinniadrift-store/src/http_transport.rs
@@ -53,17 +53,19 @@
         limit: Duration,
     ) -> Result<(StatusCode, Bytes), StoreError> {
         let exchange = async {
-            let resp = self.client.request(req).await.map_err(unavailable)?;
+            let resp = self
+                .client
+                .request(req)
+                .await
+                .map_err(StoreError::unavailable)?;
             let status = resp.status();
             let body = Limited::new(resp.into_body(), MAX_BODY_BYTES);
-            let body = body.collect().await.map_err(unavailable)?;
+            let body = body.collect().await.map_err(StoreError::unavailable)?;
             Ok((status, body.to_bytes()))
         };
         match tokio::time::timeout(limit, exchange).await {
             Ok(result) => result,
-            Err(_) => Err(StoreError::Unavailable {
-                reason: "timeout".into(),
-            }),
+            Err(_) => Err(StoreError::unavailable("timeout")),
         }
     }
 }
@@ -73,9 +75,3 @@
         Self::new()
     }
 }
-
-pub(crate) fn unavailable(e: impl std::fmt::Display) -> StoreError {
-    StoreError::Unavailable {
-        reason: e.to_string().into(),
-    }
-}
--- a/crates/zinniadrift-store/src/store_error.rs
+++ b/crates/zinniadrift-store/src/store_error.rs
@@ -27,6 +27,13 @@
 }
 
 impl StoreError {
+    /// Returns the error of a call without a usable answer.
+    pub fn unavailable(reason: impl std::fmt::Display) -> Self {
+        Self::Unavailable {
+            reason: reason.to_string().into(),
+        }
+    }
+
     /// Returns the kind that decides the answer to the caller or operator.
     pub const fn kind(&self) -> ErrorKind {
         match self {
--- a/tests/testsuite/edge_processes.rs
+++ b/tests/testsuite/edge_processes.rs
@@ -12,7 +12,7 @@
 
 use zinniadrift_edge::flag;
 use zinniadrift_stand_ins::{
-    Balancer, CallerSettings, FlowPacket, Link, Net, ROUTE, Refusal, StoreFaults, World,
+    Balancer, CallerSettings, FlowPacket, Ledger, Link, Net, ROUTE, Refusal, StoreFaults, World,
     WorldSettings,
 };
 
@@ -42,6 +42,15 @@
     world
 }
 
+/// Returns a world whose callers got more than `answers` answers, and what they saw.
+async fn served_world(number: u8, balancers: u8, targets: u8, answers: u64) -> (World, Ledger) {
+    let mut w = world(number, balancers, targets).await;
+    w.call(0, CallerSettings::default());
+    let ledger = w.ledger.clone();
+    until("callers are served", || ledger.summary().answered > answers).await;
+    (w, ledger)
+}
+
 /// Waits until `done` holds.
 async fn until(what: &str, mut done: impl FnMut() -> bool) {
     let deadline = Instant::now() + PATIENCE;
@@ -70,10 +79,7 @@
 /// Guards the whole path: callers, balancers and targets as on the platform.
 #[tokio::test]
 async fn flows_are_served_through_all_balancers() {
-    let mut w = world(0, 3, 4).await;
-    w.call(0, CallerSettings::default());
-    let ledger = w.ledger.clone();
-    until("500 answers", || ledger.summary().answered > 500).await;
+    let (w, ledger) = served_world(0, 3, 4, 500).await;
     let summary = ledger.summary();
     assert_eq!(summary.broken, Vec::<String>::new());
     w.stop(true).await;
@@ -110,10 +116,7 @@
 /// Guards against a planned stop that callers notice.
 #[tokio::test]
 async fn stopped_balancer_leaves_rotation_first() {
-    let mut w = world(2, 3, 3).await;
-    w.call(0, CallerSettings::default());
-    let ledger = w.ledger.clone();
-    until("callers are served", || ledger.summary().answered > 100).await;
+    let (mut w, ledger) = served_world(2, 3, 3, 100).await;
     w.balancers[0].signal(Signal::SIGTERM);
     until("the process ends", || w.balancers[0].ended().is_some()).await;
     assert!(w.balancers[0].ended().unwrap().success());
@@ -236,10 +239,7 @@
 /// Guards against flows that break or stay unserved while the store is away.
 #[tokio::test]
 async fn callers_do_not_notice_an_outage_of_the_store() {
-    let mut w = world(5, 3, 3).await;
-    w.call(0, CallerSettings::default());
-    let ledger = w.ledger.clone();
-    until("callers are served", || ledger.summary().answered > 50).await;
+    let (w, ledger) = served_world(5, 3, 3, 50).await;
     for refusal in [Refusal::Silence, Refusal::Status(429), Refusal::Status(503)] {
         w.store.set_faults(StoreFaults {
             refusal: Some(refusal),
