Serve routes of kinds and with field values that are not known

Cause: the decoder of the configuration knew the kinds safe, unsafe and upload; a route of another kind was skipped, and all of its flows were reset.

Change: download is a kind of its own. A kind, priority, latency target or limit that is new, missing or of another type is replaced by a default that promises nothing (not repeatable, most urgent) and named in the log; only what tells where flows go can still cost a route. The latency target of a route is decoded for later use.

Tests: edge_decoders, optional_fields and malformed_limits; download_is_served failed before.

--- a/crates/zinniadrift-core/benches/steering.rs
+++ b/crates/zinniadrift-core/benches/steering.rs
@@ -44,6 +44,7 @@
         }],
         kind: RouteKind::Idempotent,
         priority: 1,
+        latency_target: None,
     }
 }
 
--- a/crates/zinniadrift-core/src/steering/route.rs
+++ b/crates/zinniadrift-core/src/steering/route.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -18,6 +19,9 @@
     pub kind: RouteKind,
     /// The priority of its requests; 0 is the highest.
     pub priority: u8,
+    /// The response time that its callers aim for, if the configuration has one.
+    #[serde(default)]
+    pub latency_target: Option<Duration>,
 }
 
 /// A service of a route with its weight.
@@ -38,4 +42,8 @@
     NonIdempotent,
     /// Requests run at most once and have large bodies.
     Upload,
+    /// Requests may be repeated and have large responses.
+    Download,
+    /// Nothing is known about the requests; they count as not repeatable.
+    Other,
 }
--- a/crates/zinniadrift-core/src/steering/route_profile.rs
+++ b/crates/zinniadrift-core/src/steering/route_profile.rs
@@ -21,7 +21,9 @@
     pub(crate) fn default_for(route: &Route) -> Self {
         let (requests_per_flow, bytes_per_flow) = match route.kind {
             RouteKind::Idempotent => (LONG_FLOW_REQUESTS, REQUEST_BYTES),
-            RouteKind::NonIdempotent => (1.0, REQUEST_BYTES),
+            RouteKind::NonIdempotent | RouteKind::Download | RouteKind::Other => {
+                (1.0, REQUEST_BYTES)
+            }
             RouteKind::Upload => (1.0, UPLOAD_BYTES),
         };
         Self {
--- a/tests/testsuite/edge_decoders.rs
+++ b/tests/testsuite/edge_decoders.rs
@@ -5,10 +5,12 @@
 use proptest::prelude::*;
 use serde_json::{Value, json};
 
-use zinniadrift_core::steering::{Cookie, InstanceId, InstanceState, SegmentKind, WatchSettings};
+use zinniadrift_core::steering::{
+    Cookie, InstanceId, InstanceState, Route, RouteKind, SegmentKind, WatchSettings,
+};
 use zinniadrift_edge::{
-    BootFile, HEADER_BYTES, MAX_DATA_BYTES, PacketHeader, decode_configuration, decode_packet,
-    decode_server, encode_forward, encode_reset, flag,
+    BootFile, DecodedConfiguration, HEADER_BYTES, MAX_DATA_BYTES, PacketHeader,
+    decode_configuration, decode_packet, decode_server, encode_forward, encode_reset, flag,
 };
 
 fn header(flags: u8, len: u16) -> PacketHeader {
@@ -331,9 +333,74 @@
         ],
         "limits": {"idle_timeout_ms": 15_000},
     });
-    let (table, errors) = decode_configuration(&spec).unwrap();
-    assert_eq!((table.len(), errors.len()), (2, 3));
+    let DecodedConfiguration { table, faults } = decode_configuration(&spec).unwrap();
+    assert_eq!((table.len(), faults.len()), (2, 3));
     assert_eq!(table.version(), 40.into());
     let split = table.get("198.18.0.2:80".parse().unwrap()).unwrap();
     assert_eq!(split.services.len(), 2);
 }
+
+/// Decodes a configuration with one route and returns the route and the faults.
+fn decode_with(field: &str, value: Value) -> (Option<Route>, Vec<Box<str>>) {
+    let mut route = json!({
+        "name": "r-1", "host": "198.18.0.1", "path_prefix": "/443/", "kind": "safe",
+        "timeout_ms": 1_500, "target_latency_ms": 250, "priority": 1, "service": "gradebook",
+    });
+    route[field] = value;
+    let spec = json!({"version": 1, "routes": [route], "limits": {"idle_timeout_ms": 15_000}});
+    let decoded = decode_configuration(&spec).unwrap();
+    let route = decoded.table.get("198.18.0.1:443".parse().unwrap());
+    (route.cloned(), decoded.faults)
+}
+
+macro_rules! optional_fields {
+    ($($name:ident: $field:literal = $value:expr => $get:expr, $expected:expr, $faults:expr;)*) => {
+        $(
+            /// Guards against routes that are not served because of a field that only tunes them.
+            #[test]
+            fn $name() {
+                let (route, faults) = decode_with($field, $value);
+                let route = route.expect("route is served");
+                let get: fn(&Route) -> _ = $get;
+                assert_eq!(get(&route), $expected);
+                assert_eq!(faults.len(), $faults, "{faults:?}");
+                assert!(faults.iter().all(|f| f.contains("r-1") && f.contains($field)), "{faults:?}");
+            }
+        )*
+    };
+}
+
+optional_fields! {
+    download_is_served: "kind" = json!("download") => |r| r.kind, RouteKind::Download, 0;
+    kind_of_a_later_version_is_served: "kind" = json!("stream") => |r| r.kind, RouteKind::Other, 1;
+    kind_of_another_type_is_served: "kind" = json!({"a": 1}) => |r| r.kind, RouteKind::Other, 1;
+    missing_kind_is_served: "kind" = Value::Null => |r| r.kind, RouteKind::Other, 1;
+    priority_as_text_is_served: "priority" = json!("high") => |r| r.priority, 0, 1;
+    large_priority_is_served: "priority" = json!(1_000) => |r| r.priority, u8::MAX, 0;
+    missing_priority_is_served: "priority" = Value::Null => |r| r.priority, 0, 0;
+    latency_target_is_decoded: "target_latency_ms" = json!(250)
+        => |r| r.latency_target.map(|d| d.as_millis()), Some(250), 0;
+    fractional_latency_target_is_served: "target_latency_ms" = json!(0.5)
+        => |r| r.latency_target.map(|d| d.as_micros()), Some(500), 0;
+    negative_latency_target_is_ignored: "target_latency_ms" = json!(-1)
+        => |r| r.latency_target, None, 1;
+}
+
+/// Guards against ignoring a whole configuration because of a limit.
+#[test]
+fn malformed_limits_do_not_affect_routes() {
+    for limits in [
+        json!(null),
+        json!([]),
+        json!({"idle_timeout_ms": "long"}),
+        json!({"idle_timeout_ms": -1}),
+    ] {
+        let spec = json!({
+            "version": 1, "limits": limits,
+            "routes": [{"name": "r", "host": "198.18.0.1", "path_prefix": "/443/", "kind": "safe",
+                        "priority": 1, "service": "gradebook"}],
+        });
+        let decoded = decode_configuration(&spec).unwrap();
+        assert_eq!(decoded.table.len(), 1);
+    }
+}
