Add an overload experiment and replay bursts in the tests

zinniadrift-lab measure overload drives the real steering core with callers that retransmit and retry, targets with slots, a bounded queue and refusals, eight balancers in four zones and in one. Policies: default, forward (no limit) and first-come; any list of SETTING=VALUE can be given as a policy.

--- a/crates/zinniadrift-lab/src/cmd/measure.rs
+++ b/crates/zinniadrift-lab/src/cmd/measure.rs
@@ -16,7 +16,7 @@
     log_to_stderr();
     let experiment = find(&name)?;
     for policy in select(experiment, policy.as_deref())? {
-        for line in (experiment.run)(policy, seed.unwrap_or(1)) {
+        for line in (experiment.run)(&policy, seed.unwrap_or(1)) {
             println!("{}", serde_json::to_string(&line).unwrap_or_default());
         }
     }
@@ -42,17 +42,19 @@
 }
 
 /// Returns the given policy, or all policies of the experiment if none is given.
-fn select(experiment: &Experiment, policy: Option<&str>) -> Result<Vec<&'static str>, LabError> {
+fn select(experiment: &Experiment, policy: Option<&str>) -> Result<Vec<String>, LabError> {
     let Some(name) = policy else {
-        return Ok(experiment.policies.to_vec());
+        let names = experiment.policies.iter();
+        return Ok(names.map(|&name| name.to_owned()).collect());
     };
-    let found = experiment.policies.iter().copied().find(|p| *p == name);
-    let unknown = || LabError::Usage {
-        text: format!(
-            "no policy {name}; expected one of {}",
-            experiment.policies.join(", ")
-        )
-        .into(),
-    };
-    found.map(|p| vec![p]).ok_or_else(unknown)
+    if !experiment.policies.contains(&name) {
+        (experiment.check_policy)(name).map_err(|reason| LabError::Usage {
+            text: format!(
+                "no policy {name} ({reason}); expected one of {}",
+                experiment.policies.join(", ")
+            )
+            .into(),
+        })?;
+    }
+    Ok(vec![name.to_owned()])
 }
--- a/crates/zinniadrift-lab/src/experiments/balance.rs
+++ b/crates/zinniadrift-lab/src/experiments/balance.rs
@@ -11,6 +11,7 @@
 pub(crate) const EXPERIMENT: Experiment = Experiment {
     name: "balance",
     policies: policies::POLICIES,
+    check_policy: super::experiment::only_named,
     run: |policy, seed| measure(policy, seed, Scale::default()),
 };
 
--- a/crates/zinniadrift-lab/src/experiments/config/mod.rs
+++ b/crates/zinniadrift-lab/src/experiments/config/mod.rs
@@ -33,6 +33,7 @@
 pub(super) const EXPERIMENT: Experiment = Experiment {
     name: MEASURE,
     policies: &["default", "poll", "unchecked"],
+    check_policy: super::experiment::only_named,
     run: measure_config,
 };
 
--- a/crates/zinniadrift-lab/src/experiments/cost/mod.rs
+++ b/crates/zinniadrift-lab/src/experiments/cost/mod.rs
@@ -26,6 +26,7 @@
 pub(crate) const EXPERIMENT: Experiment = Experiment {
     name: "cost",
     policies: &["default"],
+    check_policy: super::experiment::only_named,
     run: measure,
 };
 
--- a/crates/zinniadrift-lab/src/experiments/flows.rs
+++ b/crates/zinniadrift-lab/src/experiments/flows.rs
@@ -9,6 +9,7 @@
 pub(crate) const EXPERIMENT: Experiment = Experiment {
     name: "flows",
     policies: policies::POLICIES,
+    check_policy: super::experiment::only_named,
     run: |policy, seed| measure(policy, seed, Scale::default()),
 };
 
--- a/crates/zinniadrift-lab/src/experiments/mod.rs
+++ b/crates/zinniadrift-lab/src/experiments/mod.rs
@@ -7,6 +7,7 @@
 mod fleet;
 pub mod flows;
 mod measure_line;
+pub mod overload;
 mod policies;
 mod report;
 pub mod requests;
--- a/crates/zinniadrift-lab/src/experiments/requests/figures.rs
+++ b/crates/zinniadrift-lab/src/experiments/requests/figures.rs
@@ -12,6 +12,7 @@
 pub const EXPERIMENT: Experiment = Experiment {
     name: "requests",
     policies: Policy::NAMES,
+    check_policy: crate::experiments::experiment::only_named,
     run,
 };
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -20,6 +20,7 @@
 mod flows_world;
 mod membership;
 mod metrics;
+mod overload;
 mod platform_edits;
 mod platform_history;
 mod processes;
