Part the steering by what is decided

Moves without a change of behaviour: directory, targets, flows, routes, placement, admission and sync, each with a page that says what it decides and which load or fault it answers; settings beside what they set. The steering's page walks a packet through them.

--- a/crates/zinniadrift-core/src/steering/admission/gate.rs
+++ b/crates/zinniadrift-core/src/steering/admission/gate.rs
@@ -6,10 +6,10 @@
 use crate::flow::FlowKey;
 use crate::units::MonoTime;
 
-use super::super::directory::TargetIndex;
-use super::super::tracked_flow::FlowPhase;
-use super::super::{Decision, Segment, Steering};
 use super::{ResponseBaseline, WaitingRequest, WaitingRequests};
+use crate::steering::directory::target_directory::TargetIndex;
+use crate::steering::flows::tracked_flow::FlowPhase;
+use crate::steering::{Decision, Segment, Steering};
 
 /// The requests that wait in the balancer, by target, and what the limits of targets depend on.
 #[derive(Clone, Debug, Default)]
@@ -78,7 +78,7 @@
     ///
     /// Those of a route without a latency target go on at once: there is nothing to meet by
     /// waiting.
-    pub(in super::super) fn may_hold(&self, service: SocketAddrV4) -> bool {
+    pub(in crate::steering) fn may_hold(&self, service: SocketAddrV4) -> bool {
         let cfg = &self.cfg.admission;
         let route = self.routes.get(service);
         let has_target = route.is_some_and(|r| r.latency_target.is_some());
@@ -86,7 +86,7 @@
     }
 
     /// Lets a request wait whose first packet has just arrived.
-    pub(in super::super) fn hold_request(
+    pub(in crate::steering) fn hold_request(
         &mut self,
         now: MonoTime,
         seg: &Segment,
@@ -117,7 +117,7 @@
     }
 
     /// Lets the request of a flow go on at once, if it waits.
-    pub(in super::super) fn admit_now(&mut self, now: MonoTime, flow: &FlowKey) {
+    pub(in crate::steering) fn admit_now(&mut self, now: MonoTime, flow: &FlowKey) {
         if self.flows.admit(&mut self.directory, now, flow) {
             self.gate.admitted.push(*flow);
         }
@@ -132,7 +132,7 @@
     }
 
     /// Adapts the limit of a target to a response of it.
-    pub(in super::super) fn record_congestion(
+    pub(in crate::steering) fn record_congestion(
         &mut self,
         now: MonoTime,
         seg: &Segment,
@@ -172,7 +172,7 @@
     }
 
     /// Lets waiting requests go on for which a target has room, or that have waited long enough.
-    pub(in super::super) fn admit_waiting(&mut self, now: MonoTime, index: TargetIndex) {
+    pub(in crate::steering) fn admit_waiting(&mut self, now: MonoTime, index: TargetIndex) {
         let Some(mut waiting) = self.gate.waiting.remove(&index) else {
             return;
         };
@@ -217,7 +217,7 @@
     }
 
     /// Checks all waiting requests if that is due.
-    pub(in super::super) fn check_waiting(&mut self, now: MonoTime) {
+    pub(in crate::steering) fn check_waiting(&mut self, now: MonoTime) {
         if self.gate.next_check().is_none_or(|at| now < at) {
             return;
         }
--- a/crates/zinniadrift-core/src/steering/counters.rs
+++ b/crates/zinniadrift-core/src/steering/counters.rs
@@ -1,4 +1,4 @@
-use super::{DropReason, ResetReason};
+use crate::steering::{DropReason, ResetReason};
 
 /// Counts of the decisions of [`Steering`](super::Steering) since the start.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
--- a/crates/zinniadrift-core/src/steering/decision.rs
+++ b/crates/zinniadrift-core/src/steering/decision.rs
@@ -5,7 +5,7 @@
 use crate::ids::ServiceId;
 use crate::units::Version;
 
-use super::{DropReason, ProbeResult, ResetReason, Revision};
+use crate::steering::{DropReason, ProbeResult, ResetReason, Revision};
 
 /// A decision to be logged, with the state that it was based on.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/zinniadrift-core/src/steering/change_log.rs
+++ b/crates/zinniadrift-core/src/steering/directory/change_log.rs
@@ -1,6 +1,6 @@
 use std::collections::VecDeque;
 
-use super::{Revision, TargetChange};
+use crate::steering::{Revision, TargetChange};
 
 /// A bounded log of the latest directory changes, from which peers get only the changes that they
 /// are missing.
--- a/crates/zinniadrift-core/src/steering/instance.rs
+++ b/crates/zinniadrift-core/src/steering/directory/instance.rs
@@ -6,7 +6,7 @@
 
 use crate::ids::{ServiceId, ZoneName};
 
-use super::InstanceId;
+use crate::steering::InstanceId;
 
 /// A target instance, as it registered itself.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/zinniadrift-core/src/steering/directory.rs
+++ b/crates/zinniadrift-core/src/steering/directory/target_directory.rs
@@ -7,10 +7,10 @@
 use crate::ids::ServiceId;
 use crate::units::MonoTime;
 
-use super::change_log::{ChangeLog, Coverage};
-use super::cookie::TargetTag;
-use super::target_record::{Presence, TargetRecord};
-use super::{DirectoryListing, Revision, TargetInstance};
+use crate::steering::directory::change_log::{ChangeLog, Coverage};
+use crate::steering::directory::cookie::TargetTag;
+use crate::steering::targets::target_record::{Presence, TargetRecord};
+use crate::steering::{DirectoryListing, Revision, TargetInstance};
 
 /// A change of the store's list of targets.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/zinniadrift-core/src/steering/flow_tracker.rs
+++ b/crates/zinniadrift-core/src/steering/flows/flow_tracker.rs
@@ -6,9 +6,9 @@
 use crate::ids::ServiceId;
 use crate::units::MonoTime;
 
-use super::directory::{Directory, TargetIndex};
-use super::tracked_flow::{FlowPhase, TrackedFlow};
-use super::{Segment, SegmentKind};
+use crate::steering::directory::target_directory::{Directory, TargetIndex};
+use crate::steering::flows::tracked_flow::{FlowPhase, TrackedFlow};
+use crate::steering::{Segment, SegmentKind};
 
 /// Observes the flows whose packets pass through this balancer to estimate the load of targets.
 ///
--- a/crates/zinniadrift-core/src/steering/open_flows.rs
+++ b/crates/zinniadrift-core/src/steering/flows/open_flows.rs
@@ -2,13 +2,15 @@
 
 use crate::units::MonoTime;
 
-use super::cookie::TargetTag;
-use super::directory::TargetIndex;
-use super::target_record::{Presence, TargetRecord};
-use super::{Cookie, DropReason, ResetReason, Segment, SegmentKind, Steering, SyncStatus, Verdict};
+use crate::steering::directory::cookie::TargetTag;
+use crate::steering::directory::target_directory::TargetIndex;
+use crate::steering::targets::target_record::{Presence, TargetRecord};
+use crate::steering::{
+    Cookie, DropReason, ResetReason, Segment, SegmentKind, Steering, SyncStatus, Verdict,
+};
 
 impl Steering {
-    pub(super) fn on_flow_packet(&mut self, now: MonoTime, seg: &Segment) -> Verdict {
+    pub(in crate::steering) fn on_flow_packet(&mut self, now: MonoTime, seg: &Segment) -> Verdict {
         if self.routes.get(seg.flow.service).is_none() {
             self.flows.remove(&mut self.directory, &seg.flow);
             return self.handle_missing_route(now, seg);
@@ -46,7 +48,11 @@
         is_dead.then_some(ResetReason::TargetSilent)
     }
 
-    pub(super) fn handle_missing_route(&mut self, now: MonoTime, seg: &Segment) -> Verdict {
+    pub(in crate::steering) fn handle_missing_route(
+        &mut self,
+        now: MonoTime,
+        seg: &Segment,
+    ) -> Verdict {
         let since = self.unknown_routes.since(seg.flow.service, now);
         let margin = match seg.kind {
             SegmentKind::Open { .. } => Duration::ZERO,
@@ -132,7 +138,7 @@
         }
     }
 
-    pub(super) fn forward(&self, seg: &Segment, index: TargetIndex) -> Verdict {
+    pub(in crate::steering) fn forward(&self, seg: &Segment, index: TargetIndex) -> Verdict {
         let Some(record) = self.directory.get(index) else {
             return Verdict::Drop(DropReason::DirectoryStale);
         };
@@ -144,13 +150,13 @@
     }
 }
 
-pub(super) fn reset(seg: &Segment, reason: ResetReason) -> Verdict {
+pub(in crate::steering) fn reset(seg: &Segment, reason: ResetReason) -> Verdict {
     Verdict::Reset {
         seq: seg.ack,
         reason,
     }
 }
 
-pub(super) fn is_lapsed(record: &TargetRecord) -> bool {
+pub(in crate::steering) fn is_lapsed(record: &TargetRecord) -> bool {
     matches!(record.presence, Presence::Lapsed { .. })
 }
--- a/crates/zinniadrift-core/src/steering/segment.rs
+++ b/crates/zinniadrift-core/src/steering/flows/segment.rs
@@ -1,6 +1,6 @@
 use crate::flow::FlowKey;
 
-use super::Cookie;
+use crate::steering::Cookie;
 
 /// The parts of a caller's packet that the decision depends on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/zinniadrift-core/src/steering/tracked_flow.rs
+++ b/crates/zinniadrift-core/src/steering/flows/tracked_flow.rs
@@ -1,6 +1,6 @@
 use crate::units::MonoTime;
 
-use super::directory::TargetIndex;
+use crate::steering::directory::target_directory::TargetIndex;
 
 /// The observed state of a flow.
 #[derive(Clone, Copy, Debug)]
--- a/crates/zinniadrift-core/src/steering/mod.rs
+++ b/crates/zinniadrift-core/src/steering/mod.rs
@@ -4,6 +4,12 @@
 //! an open flow without a flow table, a peer or the platform. [`Steering`] returns a verdict for
 //! each packet; [`WatchLoop`] chooses the next call to the platform's store.
 //!
+//! A packet passes `routes` (is there a route for its address), then either `placement` (it opens a
+//! flow: which target gets it, or is it refused) or `flows` (its cookie names the target; is that
+//! target alive), and `admission` (does its request go on or wait). What the packet shows is
+//! recorded in `targets`. `directory` holds the targets that exist and `sync` keeps it and the
+//! routes current.
+//!
 //! ```
 //! use zinniadrift_core::steering::{Steering, SteeringSettings};
 //!
@@ -13,56 +19,39 @@
 //! ```
 
 mod admission;
-mod change_log;
-mod choice;
-mod cookie;
 mod counters;
 mod decision;
 mod directory;
-mod fan_out;
-mod first_seen;
-mod flow_tracker;
-mod instance;
-mod liveness;
-mod open_flows;
-mod pause_detector;
-mod peer_selector;
-mod peer_update;
-mod placing;
-mod probing;
-mod route;
-mod route_history;
-mod route_profile;
-mod route_table;
-mod segment;
+mod flows;
+mod millis;
+mod placement;
+mod routes;
 mod settings;
 mod state_machine;
-mod sync_status;
-mod target_record;
-mod tracked_flow;
-mod updates;
+mod sync;
+mod targets;
 mod verdict;
-mod watch_loop;
-mod zone_health;
 
 pub use admission::AdmissionSettings;
-pub use cookie::{Cookie, InstanceId};
 pub use counters::SteeringCounters;
 pub use decision::Decision;
-pub use directory::{Directory, TargetChange};
-pub use fan_out::{Admission, FanOut, PeerInfo};
-pub use instance::{InstanceState, TargetInstance};
-pub use liveness::ProbeResult;
-pub use pause_detector::PauseDetector;
-pub use peer_selector::PeerSelector;
-pub use peer_update::{DirectoryUpdate, KnownState, PeerUpdate};
-pub use probing::{FlowReset, ProbeRequest};
-pub use route::{Route, RouteKind, WeightedService};
-pub use route_history::RouteDelta;
-pub use route_table::RouteTable;
-pub use segment::{Segment, SegmentKind};
-pub use settings::{OverrideError, PlacementSettings, SteeringSettings, WatchSettings};
+pub use directory::cookie::{Cookie, InstanceId};
+pub use directory::instance::{InstanceState, TargetInstance};
+pub use directory::target_directory::{Directory, TargetChange};
+pub use flows::segment::{Segment, SegmentKind};
+pub use placement::placement_settings::PlacementSettings;
+pub use routes::route::{Route, RouteKind, WeightedService};
+pub use routes::route_history::RouteDelta;
+pub use routes::route_table::RouteTable;
+pub use settings::{OverrideError, SteeringSettings};
 pub use state_machine::Steering;
-pub use sync_status::{DirectoryListing, Revision, SyncStatus};
+pub use sync::fan_out::{Admission, FanOut, PeerInfo};
+pub use sync::pause_detector::PauseDetector;
+pub use sync::peer_selector::PeerSelector;
+pub use sync::peer_update::{DirectoryUpdate, KnownState, PeerUpdate};
+pub use sync::sync_status::{DirectoryListing, Revision, SyncStatus};
+pub use sync::watch_loop::{StoreCallError, StoreNeed, StoreStep, WatchLoop};
+pub use sync::watch_settings::WatchSettings;
+pub use targets::liveness::ProbeResult;
+pub use targets::probing::{FlowReset, ProbeRequest};
 pub use verdict::{DropReason, ResetReason, Verdict};
-pub use watch_loop::{StoreCallError, StoreNeed, StoreStep, WatchLoop};
--- a/crates/zinniadrift-core/src/steering/choice.rs
+++ b/crates/zinniadrift-core/src/steering/placement/choice.rs
@@ -1,7 +1,7 @@
 use rand::RngExt;
 use rand_xoshiro::Xoshiro256PlusPlus;
 
-use super::directory::TargetIndex;
+use crate::steering::directory::target_directory::TargetIndex;
 
 /// A target that may get a new flow, with the inputs of its cost.
 #[derive(Clone, Copy, Debug)]
--- /dev/null
+++ b/crates/zinniadrift-core/src/steering/placement/mod.rs
@@ -0,0 +1,8 @@
+//! Which target a new flow goes to, or whether it is refused.
+//!
+//! Depends on `directory`, `targets` and `routes`. It answers uneven load, slow and cold targets, cut
+//! zones and, together with `admission`, bursts.
+
+pub(super) mod choice;
+pub(super) mod placement_settings;
+pub(super) mod placing;
--- a/crates/zinniadrift-core/src/steering/placing.rs
+++ b/crates/zinniadrift-core/src/steering/placement/placing.rs
@@ -5,13 +5,13 @@
 use crate::ids::ServiceId;
 use crate::units::MonoTime;
 
-use super::choice::{Candidate, pick_lowest_cost};
-use super::directory::TargetIndex;
-use super::open_flows::{is_lapsed, reset};
-use super::route_profile::RouteProfile;
-use super::target_record::TargetRecord;
-use super::tracked_flow::FlowPhase;
-use super::{Decision, DropReason, ResetReason, Route, Segment, Steering, Verdict};
+use crate::steering::directory::target_directory::TargetIndex;
+use crate::steering::flows::open_flows::{is_lapsed, reset};
+use crate::steering::flows::tracked_flow::FlowPhase;
+use crate::steering::placement::choice::{Candidate, pick_lowest_cost};
+use crate::steering::routes::route_profile::RouteProfile;
+use crate::steering::targets::target_record::TargetRecord;
+use crate::steering::{Decision, DropReason, ResetReason, Route, Segment, Steering, Verdict};
 
 /// The load of an open but idle flow, in active requests: the share of time in which a long flow
 /// has an active request, at one request of 50 ms per second.
@@ -29,7 +29,7 @@
 }
 
 impl Steering {
-    pub(super) fn on_open(
+    pub(in crate::steering) fn on_open(
         &mut self,
         now: MonoTime,
         seg: &Segment,
--- a/crates/zinniadrift-core/src/steering/route_history.rs
+++ b/crates/zinniadrift-core/src/steering/routes/route_history.rs
@@ -7,7 +7,7 @@
 
 use crate::units::Version;
 
-use super::{Route, RouteTable};
+use crate::steering::{Route, RouteTable};
 
 /// The difference between two versions of the configuration.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/zinniadrift-core/src/steering/route_profile.rs
+++ b/crates/zinniadrift-core/src/steering/routes/route_profile.rs
@@ -1,5 +1,5 @@
-use super::flow_tracker::FlowSummary;
-use super::{Route, RouteKind};
+use crate::steering::flows::flow_tracker::FlowSummary;
+use crate::steering::{Route, RouteKind};
 
 /// The usual requests and bytes of a route's flows, as moving averages over ended flows.
 #[derive(Clone, Copy, Debug)]
--- a/crates/zinniadrift-core/src/steering/route_table.rs
+++ b/crates/zinniadrift-core/src/steering/routes/route_table.rs
@@ -5,7 +5,7 @@
 
 use crate::units::Version;
 
-use super::Route;
+use crate::steering::Route;
 
 /// The routes of one configuration version.
 #[derive(Clone, Debug, Default)]
--- a/crates/zinniadrift-core/src/steering/state_machine.rs
+++ b/crates/zinniadrift-core/src/steering/state_machine.rs
@@ -9,14 +9,14 @@
 use crate::ids::ServiceId;
 use crate::units::{MonoTime, Version};
 
-use super::admission::AdmissionGate;
-use super::cookie::TargetTag;
-use super::first_seen::FirstSeen;
-use super::flow_tracker::FlowTracker;
-use super::route_history::RouteHistory;
-use super::route_profile::RouteProfile;
-use super::zone_health::ZoneHealth;
-use super::{
+use crate::steering::admission::AdmissionGate;
+use crate::steering::directory::cookie::TargetTag;
+use crate::steering::directory::first_seen::FirstSeen;
+use crate::steering::flows::flow_tracker::FlowTracker;
+use crate::steering::routes::route_history::RouteHistory;
+use crate::steering::routes::route_profile::RouteProfile;
+use crate::steering::targets::zone_health::ZoneHealth;
+use crate::steering::{
     Decision, Directory, ProbeRequest, Revision, RouteTable, Segment, SegmentKind,
     SteeringCounters, SteeringSettings, SyncStatus, Verdict,
 };
--- /dev/null
+++ b/crates/zinniadrift-core/src/steering/sync/mod.rs
@@ -0,0 +1,13 @@
+//! How a balancer keeps its directory and routes current from the store and from peers.
+//!
+//! Answers a store that is down, slow, partial or without history, and keeps the number of calls flat
+//! as balancers are added.
+
+pub(super) mod fan_out;
+pub(super) mod pause_detector;
+pub(super) mod peer_selector;
+pub(super) mod peer_update;
+pub(super) mod sync_status;
+pub(super) mod updates;
+pub(super) mod watch_loop;
+pub(super) mod watch_settings;
--- a/crates/zinniadrift-core/src/steering/peer_selector.rs
+++ b/crates/zinniadrift-core/src/steering/sync/peer_selector.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::StoreNeed;
+use crate::steering::StoreNeed;
 
 /// Selects the peer that a balancer requests updates from, and decides whether the balancer needs
 /// the store too.
--- a/crates/zinniadrift-core/src/steering/peer_update.rs
+++ b/crates/zinniadrift-core/src/steering/sync/peer_update.rs
@@ -4,7 +4,7 @@
 
 use crate::units::Version;
 
-use super::{DirectoryListing, Revision, RouteDelta, TargetChange};
+use crate::steering::{DirectoryListing, Revision, RouteDelta, TargetChange};
 
 /// The state that a balancer has, which it sends when it requests updates from a peer.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/zinniadrift-core/src/steering/sync_status.rs
+++ b/crates/zinniadrift-core/src/steering/sync/sync_status.rs
@@ -5,7 +5,7 @@
 use crate::number::number_newtype;
 use crate::units::MonoTime;
 
-use super::TargetInstance;
+use crate::steering::TargetInstance;
 
 number_newtype! {
     /// A revision of the platform's store.
--- a/crates/zinniadrift-core/src/steering/updates.rs
+++ b/crates/zinniadrift-core/src/steering/sync/updates.rs
@@ -2,8 +2,8 @@
 
 use crate::units::{MonoTime, Version};
 
-use super::change_log::Coverage;
-use super::{
+use crate::steering::directory::change_log::Coverage;
+use crate::steering::{
     Decision, DirectoryListing, DirectoryUpdate, InstanceState, KnownState, PeerUpdate, Revision,
     RouteTable, Steering, TargetChange,
 };
--- a/crates/zinniadrift-core/src/steering/watch_loop.rs
+++ b/crates/zinniadrift-core/src/steering/sync/watch_loop.rs
@@ -4,7 +4,7 @@
 
 use crate::units::MonoTime;
 
-use super::{Revision, WatchSettings};
+use crate::steering::{Revision, WatchSettings};
 
 /// Why a balancer calls the store.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
--- a/crates/zinniadrift-core/src/steering/probing.rs
+++ b/crates/zinniadrift-core/src/steering/targets/probing.rs
@@ -4,9 +4,9 @@
 use crate::flow::FlowKey;
 use crate::units::MonoTime;
 
-use super::directory::TargetIndex;
-use super::target_record::Presence;
-use super::{Decision, ProbeResult, ResetReason, Steering};
+use crate::steering::directory::target_directory::TargetIndex;
+use crate::steering::targets::target_record::Presence;
+use crate::steering::{Decision, ProbeResult, ResetReason, Steering};
 
 /// A target to probe.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -35,7 +35,7 @@
 
 impl Steering {
     /// Queues a probe of a target whose callers retransmit, or that is dead, if one is due.
-    pub(super) fn queue_probe_if_due(&mut self, now: MonoTime, index: TargetIndex) {
+    pub(in crate::steering) fn queue_probe_if_due(&mut self, now: MonoTime, index: TargetIndex) {
         let record = self.directory.get_mut(index);
         if record.is_some_and(|r| r.liveness.should_probe(now)) {
             self.queue_probe(index);
@@ -46,7 +46,7 @@
     /// balancer.
     ///
     /// If its host refuses the connection, the target has certainly ended.
-    pub(super) fn queue_probe_after_removal(&mut self, index: TargetIndex) {
+    pub(in crate::steering) fn queue_probe_after_removal(&mut self, index: TargetIndex) {
         let record = self.directory.get(index);
         if record.is_some_and(|r| r.open_flows > 0) {
             self.queue_probe(index);
--- a/crates/zinniadrift-core/src/steering/target_record.rs
+++ b/crates/zinniadrift-core/src/steering/targets/target_record.rs
@@ -4,11 +4,11 @@
 
 use crate::units::MonoTime;
 
-use super::admission::ConcurrencyLimit;
-use super::cookie::TargetTag;
-use super::liveness::Liveness;
-use super::tracked_flow::FlowPhase;
-use super::{InstanceState, TargetInstance};
+use crate::steering::admission::ConcurrencyLimit;
+use crate::steering::directory::cookie::TargetTag;
+use crate::steering::flows::tracked_flow::FlowPhase;
+use crate::steering::targets::liveness::Liveness;
+use crate::steering::{InstanceState, TargetInstance};
 
 /// Whether a target is registered, according to the store.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
--- a/crates/zinniadrift-core/src/steering/zone_health.rs
+++ b/crates/zinniadrift-core/src/steering/targets/zone_health.rs
@@ -5,7 +5,7 @@
 use crate::ids::ZoneName;
 use crate::units::MonoTime;
 
-use super::directory::TargetIndex;
+use crate::steering::directory::target_directory::TargetIndex;
 
 /// Detects that no target of another availability zone responds.
 ///
--- a/crates/zinniadrift-core/src/steering/verdict.rs
+++ b/crates/zinniadrift-core/src/steering/verdict.rs
@@ -2,7 +2,7 @@
 
 use derive_more::Display;
 
-use super::{Cookie, InstanceId};
+use crate::steering::{Cookie, InstanceId};
 
 /// The decision of [`Steering`](super::Steering) about a packet.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
