Drop waiting requests of callers that gave up; serve late ones when there is room

Cause: a request that had waited until its route's timeout went on without room, although its caller had left; and late requests went on only up to half of the limit.

Change: a waiting request is dropped when its caller has given up; late ones go up to the full limit while the target is not congested, and one a second in any case.

Log lines name the target of a reset or drop in the field name; the field target is the log's own.

--- a/crates/zinniadrift-core/src/steering/admission/admission_settings.rs
+++ b/crates/zinniadrift-core/src/steering/admission/admission_settings.rs
@@ -13,14 +13,6 @@
     pub max_decrease: f32,
     /// The lowest limit, in requests; at least 1.
     pub min_limit: f32,
-    /// The longest time that a request waits in the balancer, as a share of its route's timeout.
-    pub max_wait: f32,
-    /// The share of the limit up to which requests go on that can no longer meet their latency
-    /// target.
-    pub late_share: f32,
-    /// The response time, relative to the tolerated one, up to which requests go on that can no
-    /// longer meet their latency target.
-    pub late_pressure: f32,
     /// The response time, relative to the tolerated one, from which the limit falls below
     /// `min_limit`, down to a single request.
     pub severe_pressure: f32,
@@ -38,9 +30,6 @@
             queueing_share: 0.2,
             max_decrease: 0.5,
             min_limit: 2.0,
-            max_wait: 1.0,
-            late_share: 0.5,
-            late_pressure: 0.9,
             severe_pressure: 1.25,
             newest_first: true,
             max_waiting: 256,
--- a/crates/zinniadrift-core/src/steering/admission/concurrency_limit.rs
+++ b/crates/zinniadrift-core/src/steering/admission/concurrency_limit.rs
@@ -60,18 +60,11 @@
 
     /// Returns whether another request may go to the target while `active` are there.
     pub(crate) fn allows(&self, active: u32) -> bool {
-        self.allows_share(active, 1.0)
-    }
-
-    /// Returns whether another request may go to the target while `active` are there, under a
-    /// share of the limit.
-    pub(crate) fn allows_share(&self, active: u32, share: f32) -> bool {
-        let active = active as f32;
-        self.limit.is_none_or(|limit| active < limit * share)
+        self.limit.is_none_or(|limit| (active as f32) < limit)
     }
 
     /// Returns the recent response time relative to the one that is tolerated of this target.
-    pub(crate) fn pressure(&self) -> f32 {
+    fn pressure(&self) -> f32 {
         self.pressure / (self.slowness * SLOWNESS_MARGIN).max(1.0)
     }
 
@@ -94,15 +87,11 @@
         }
     }
 
-    /// Returns the share of the limit up to which a late request may go to the target.
-    pub(crate) fn late_share(&self, cfg: &AdmissionSettings, now: MonoTime) -> f32 {
-        if now.since(self.last_late) > LATE_INTERVAL {
-            1.0
-        } else if self.pressure() <= cfg.late_pressure {
-            cfg.late_share
-        } else {
-            0.0
-        }
+    /// Returns whether another request that can no longer meet its latency target may go to the
+    /// target while `active` are there.
+    pub(crate) fn allows_late(&self, now: MonoTime, active: u32) -> bool {
+        let is_due = now.since(self.last_late) > LATE_INTERVAL;
+        self.allows(active) && (is_due || self.pressure() <= 1.0)
     }
 
     /// Returns whether the target has neither responded nor been sent a waiting request for
--- a/crates/zinniadrift-core/src/steering/admission/gate.rs
+++ b/crates/zinniadrift-core/src/steering/admission/gate.rs
@@ -102,7 +102,7 @@
             flow: seg.flow,
             since: now,
             useful_until: now + target.saturating_sub(baseline),
-            wait_until: now + timeout.mul_f32(self.cfg.admission.max_wait),
+            given_up_at: now + timeout,
             priority: route.priority,
         };
         let waiting = self.gate.waiting.entry(index).or_default();
@@ -171,7 +171,10 @@
         }
     }
 
-    /// Lets waiting requests go on for which a target has room, or that have waited long enough.
+    /// Lets waiting requests go on for which a target has room.
+    ///
+    /// Those whose callers have given up are dropped: they would take the room of others. A caller
+    /// that waits on all the same retransmits, which starts a new wait.
     pub(in crate::steering) fn admit_waiting(&mut self, now: MonoTime, index: TargetIndex) {
         let Some(mut waiting) = self.gate.waiting.remove(&index) else {
             return;
@@ -182,8 +185,8 @@
             flow.is_some_and(|f| f.phase == FlowPhase::Waiting && f.target == index)
         });
         while let Some(req) = waiting.pop_expired(now) {
-            self.counters.requests_held_too_long += 1;
-            self.admit_now(now, &req.flow);
+            self.counters.requests_abandoned += 1;
+            self.flows.abandon(&mut self.directory, &req.flow);
         }
         while !waiting.is_empty() {
             let Some(record) = self.directory.get_mut(index) else {
@@ -191,12 +194,11 @@
             };
             let cfg = &self.cfg.admission;
             let is_late = cfg.newest_first && !waiting.has_useful(now);
-            let share = if is_late {
-                record.limit.late_share(cfg, now)
+            let has_room = if is_late {
+                record.limit.allows_late(now, record.active_requests)
             } else {
-                1.0
+                record.limit.allows(record.active_requests)
             };
-            let has_room = record.limit.allows_share(record.active_requests, share);
             if !has_room && !record.limit.is_stalled(now, STALL_TIMEOUT) {
                 break;
             }
--- a/crates/zinniadrift-core/src/steering/admission/mod.rs
+++ b/crates/zinniadrift-core/src/steering/admission/mod.rs
@@ -11,7 +11,10 @@
 //!   time that responses take beyond the baseline;
 //! - [`WaitingRequests`] picks the request that goes next when there is room.
 //!
-//! No request waits while responses are not delayed by a queue.
+//! No request waits while responses are not delayed by a queue. A request that can no longer meet
+//! its latency target goes on when the target is not congested, and one a second in any case. When
+//! the caller has given up, it is dropped. New flows are refused at once when every target has too
+//! many waiting requests, see `placement`.
 
 mod admission_settings;
 mod concurrency_limit;
--- a/crates/zinniadrift-core/src/steering/admission/waiting_requests.rs
+++ b/crates/zinniadrift-core/src/steering/admission/waiting_requests.rs
@@ -11,8 +11,8 @@
     pub(crate) since: MonoTime,
     /// The latest time at which it can go on and still be answered within its latency target.
     pub(crate) useful_until: MonoTime,
-    /// When it goes on even without room.
-    pub(crate) wait_until: MonoTime,
+    /// When its caller gives up.
+    pub(crate) given_up_at: MonoTime,
     /// The priority of its route; 0 is the highest.
     pub(crate) priority: u8,
 }
@@ -73,9 +73,9 @@
         Some(self.requests.swap_remove(oldest))
     }
 
-    /// Removes and returns a request that has waited as long as it may.
+    /// Removes and returns a request whose caller has given up.
     pub(crate) fn pop_expired(&mut self, now: MonoTime) -> Option<WaitingRequest> {
-        let expired = self.requests.iter().position(|r| now >= r.wait_until)?;
+        let expired = self.requests.iter().position(|r| now >= r.given_up_at)?;
         Some(self.requests.swap_remove(expired))
     }
 }
--- a/crates/zinniadrift-core/src/steering/counters.rs
+++ b/crates/zinniadrift-core/src/steering/counters.rs
@@ -25,8 +25,8 @@
     pub reset_unknown_cookie: u64,
     /// Requests that waited in the balancer for room at their target.
     pub requests_held: u64,
-    /// Requests that went on without room because they had waited as long as they may.
-    pub requests_held_too_long: u64,
+    /// Waiting requests that were dropped because their callers had given up.
+    pub requests_abandoned: u64,
     /// Packets dropped without a current configuration.
     pub dropped_route_unknown: u64,
     /// Packets dropped without a current directory.
--- a/crates/zinniadrift-core/src/steering/flows/flow_tracker.rs
+++ b/crates/zinniadrift-core/src/steering/flows/flow_tracker.rs
@@ -124,6 +124,18 @@
         true
     }
 
+    /// Forgets the waiting request of a flow.
+    pub(crate) fn abandon(&mut self, dir: &mut Directory, flow: &FlowKey) {
+        let flow = self.flows.get_mut(flow);
+        let Some(flow) = flow.filter(|f| f.phase == FlowPhase::Waiting) else {
+            return;
+        };
+        if let Some(record) = dir.get_mut(flow.target) {
+            record.leave_phase(flow.phase);
+        }
+        flow.phase = FlowPhase::Idle;
+    }
+
     /// Records a packet of an open flow for `target`, and whether it has to wait if `may_hold`.
     pub(crate) fn record_packet(
         &mut self,
--- a/crates/zinniadrift-core/src/steering/placement/placement_settings.rs
+++ b/crates/zinniadrift-core/src/steering/placement/placement_settings.rs
@@ -17,9 +17,6 @@
     ///
     /// Targets queue a few more requests than they have slots; they refuse more than eight.
     pub queue_limit: u32,
-    /// The load of a request or opening packet that awaits its response, in open flows, when a long
-    /// flow is placed.
-    pub long_flow_request_load: f32,
     /// The factor by which a target that has not warmed up processes requests more slowly; 1 treats
     /// all targets alike.
     pub cold_slowdown: f32,
@@ -48,7 +45,6 @@
         Self {
             suspicion_timeout: Duration::from_millis(1_500),
             queue_limit: 8,
-            long_flow_request_load: 0.0,
             cold_slowdown: 1.6,
             max_slowdown: 8.0,
             cross_zone_cost: 0.15,
--- a/crates/zinniadrift-core/src/steering/placement/placing.rs
+++ b/crates/zinniadrift-core/src/steering/placement/placing.rs
@@ -169,7 +169,7 @@
         let load = record.outstanding() as f32;
         let flows = record.open_flows as f32;
         let load = if profile.has_long_flows() {
-            flows + self.cfg.placement.long_flow_request_load * load
+            flows
         } else {
             load + IDLE_FLOW_LOAD * flows
         };
--- a/crates/zinniadrift-runtime/src/steering/decision_log.rs
+++ b/crates/zinniadrift-runtime/src/steering/decision_log.rs
@@ -99,7 +99,7 @@
         } => tracing::info!(
             %flow,
             %reason,
-            target = target.as_deref(),
+            name = target.as_deref(),
             %directory,
             directory_age_ms = millis(*directory_age),
             %version,
@@ -114,7 +114,7 @@
         } => tracing::info!(
             %flow,
             %reason,
-            target = target.as_deref(),
+            name = target.as_deref(),
             directory_age_ms = millis(*directory_age),
             configuration_age_ms = millis(*configuration_age),
             "packet dropped"
--- a/crates/zinniadrift-runtime/src/steering/edge_metrics.rs
+++ b/crates/zinniadrift-runtime/src/steering/edge_metrics.rs
@@ -116,11 +116,11 @@
     ),
     (
         Metric::counter(
-            "requests_held_too_long",
+            "requests_abandoned",
             "requests",
-            "requests that went on without room after the longest wait",
+            "waiting requests dropped because their callers had given up",
         ),
-        |c| c.requests_held_too_long,
+        |c| c.requests_abandoned,
     ),
     (
         Metric::counter(
--- a/tests/testsuite/steering/admission.rs
+++ b/tests/testsuite/steering/admission.rs
@@ -230,6 +230,28 @@
     assert_eq!(callers.w.core.waiting_requests(), 1);
 }
 
+/// Guards against work on a request whose caller has given up, and against ignoring a caller that
+/// waits on all the same.
+#[test]
+fn request_of_caller_that_gave_up_is_dropped() {
+    let mut callers = Callers::congested(30);
+    callers.fill(12..20);
+    for port in 20..30 {
+        assert!(callers.request_waits(port));
+    }
+    // The target does not respond at all.
+    for _ in 0..62 {
+        callers.w.advance_clock(20);
+        callers.w.core.tick(callers.w.now);
+        callers.replay();
+    }
+    assert_eq!(callers.w.core.waiting_requests(), 0);
+    let abandoned = callers.w.core.counters().requests_abandoned;
+    assert!((5..=9).contains(&abandoned), "{abandoned}");
+    let waits = (20..30).filter(|port| callers.request_waits(*port));
+    assert!(waits.count() > 0);
+}
+
 /// Guards against losing waiting requests when the process is asked to end.
 #[test]
 fn waiting_requests_go_on_before_the_end() {
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,4 +1,6 @@
-//! Maintenance tasks of the workspace: `cargo xtask generate`.
+//! Maintenance tasks of the workspace: `cargo xtask generate` and `cargo xtask ablation`.
+
+mod ablation;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -14,8 +16,9 @@
     let task = args.subcommand().ok().flatten();
     let result = match task.as_deref() {
         Some("generate") => generate(),
+        Some("ablation") => ablation::Ablation::read().map(|a| a.print()),
         _ => {
-            eprintln!("usage: cargo run -p xtask -- generate");
+            eprintln!("usage: cargo xtask generate|ablation");
             return ExitCode::from(2);
         }
     };
