--- a/crates/zinniadrift-core/src/steering/admission/admission_settings.rs
+++ b/crates/zinniadrift-core/src/steering/admission/admission_settings.rs
@@ -23,6 +23,29 @@
     pub max_waiting: usize,
 }
 
+impl AdmissionSettings {
+    /// Checks the ranges of all settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the name of the first setting that is out of range and what it accepts.
+    pub fn check(&self) -> Result<(), &'static str> {
+        if !(0.0..=1.0).contains(&self.queueing_share) {
+            return Err("queueing_share must be from 0 to 1");
+        }
+        if !(self.max_decrease > 0.0 && self.max_decrease < 1.0) {
+            return Err("max_decrease must be between 0 and 1");
+        }
+        if !(1.0..=f32::MAX).contains(&self.min_limit) {
+            return Err("min_limit must be at least 1");
+        }
+        if !(1.0..=f32::MAX).contains(&self.severe_pressure) {
+            return Err("severe_pressure must be at least 1");
+        }
+        Ok(())
+    }
+}
+
 impl Default for AdmissionSettings {
     fn default() -> Self {
         Self {
--- a/crates/zinniadrift-core/src/steering/admission/concurrency_limit.rs
+++ b/crates/zinniadrift-core/src/steering/admission/concurrency_limit.rs
@@ -69,7 +69,7 @@
     }
 
     /// Returns the limit in requests, if there is one.
-    pub(crate) fn get(&self) -> Option<f32> {
+    pub(crate) fn current(&self) -> Option<f32> {
         self.limit
     }
 
--- a/crates/zinniadrift-core/src/steering/admission/gate.rs
+++ b/crates/zinniadrift-core/src/steering/admission/gate.rs
@@ -155,11 +155,11 @@
         let Some(record) = self.directory.get_mut(index) else {
             return;
         };
-        let was_congested = record.limit.get().is_some();
+        let was_congested = record.limit.current().is_some();
         record
             .limit
             .record_response(cfg, now, took, tolerated, active);
-        let limit = record.limit.get();
+        let limit = record.limit.current();
         if limit.is_some() != was_congested {
             let decision = Decision::Congestion {
                 target: record.instance.name.clone(),
--- a/crates/zinniadrift-core/src/steering/placement/placement_settings.rs
+++ b/crates/zinniadrift-core/src/steering/placement/placement_settings.rs
@@ -40,6 +40,40 @@
     pub use_lapsed_targets: bool,
 }
 
+impl PlacementSettings {
+    /// Checks the ranges of all settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the name of the first setting that is out of range and what it accepts.
+    pub fn check(&self) -> Result<(), &'static str> {
+        for (value, min, text) in [
+            (self.cold_slowdown, 1.0, "cold_slowdown must be at least 1"),
+            (self.max_slowdown, 1.0, "max_slowdown must be at least 1"),
+            (
+                self.cross_zone_cost,
+                0.0,
+                "cross_zone_cost must be at least 0",
+            ),
+            (
+                self.bytes_per_cost_unit,
+                1.0,
+                "bytes_per_cost_unit must be at least 1",
+            ),
+            (
+                self.long_flow_remote_factor,
+                1.0,
+                "long_flow_remote_factor must be at least 1",
+            ),
+        ] {
+            if !(min..=f32::MAX).contains(&value) {
+                return Err(text);
+            }
+        }
+        Ok(())
+    }
+}
+
 impl Default for PlacementSettings {
     fn default() -> Self {
         Self {
--- a/crates/zinniadrift-core/src/steering/settings.rs
+++ b/crates/zinniadrift-core/src/steering/settings.rs
@@ -71,7 +71,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if there is no such setting or if it does not accept the value.
+    /// Fails if there is no such setting, or if it does not accept the value or its range.
     pub fn with_override(&self, name: &str, value: &str) -> Result<Self, OverrideError> {
         let error = |reason: String| OverrideError {
             name: name.into(),
@@ -84,6 +84,9 @@
             .pointer_mut(&pointer)
             .ok_or_else(|| error("unknown setting".to_owned()))?;
         *setting = value;
-        serde_json::from_value(tree).map_err(|e| error(e.to_string()))
+        let cfg: Self = serde_json::from_value(tree).map_err(|e| error(e.to_string()))?;
+        let checked = cfg.placement.check().and_then(|()| cfg.admission.check());
+        checked.map_err(|reason| error(reason.to_owned()))?;
+        Ok(cfg)
     }
 }
--- a/crates/zinniadrift-lab/src/experiments/overload/mod.rs
+++ b/crates/zinniadrift-lab/src/experiments/overload/mod.rs
@@ -6,13 +6,16 @@
 //! what exceeds the queue and may be slow or dead.
 
 mod balancer;
+mod balancer_events;
 mod caller;
+mod caller_events;
 mod event;
 mod event_queue;
 mod scenario;
 mod simulation;
 mod tally;
 mod target;
+mod target_events;
 
 use std::thread;
 
--- a/tests/testsuite/overload.rs
+++ b/tests/testsuite/overload.rs
@@ -114,5 +114,7 @@
     unknown_setting: "admission.speed=1", "unknown setting";
     setting_of_another_type: "admission.enabled=7", "admission.enabled";
     setting_without_a_value: "admission.enabled", "admission.enabled";
+    setting_out_of_range: "admission.min_limit=0.5", "min_limit must be at least 1";
+    factor_below_one: "placement.cold_slowdown=0.9", "cold_slowdown must be at least 1";
     unknown_group: "nothing.enabled=true", "unknown setting";
 }
--- a/xtask/src/ablation.rs
+++ b/xtask/src/ablation.rs
@@ -59,6 +59,10 @@
         for path in paths.iter().filter(|p| p.extension().is_some()) {
             let text = std::fs::read_to_string(path)
                 .with_whatever_context(|_| format!("cannot read {}", path.display()))?;
+            // Entries of other kinds of runs have other fields.
+            if !text.contains(NOTE_PREFIX) {
+                continue;
+            }
             let entry: Entry = serde_json::from_str(&text)
                 .with_whatever_context(|_| format!("cannot decode {}", path.display()))?;
             ablation.add(entry);
