--- a/crates/zinniadrift-core/src/steering/admission/gate.rs
+++ b/crates/zinniadrift-core/src/steering/admission/gate.rs
@@ -39,9 +39,14 @@
         self.waiting.values().map(WaitingRequests::len).sum()
     }
 
+    /// Returns whether any request waits.
+    pub(crate) fn has_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
     /// Returns when waiting requests are due for a check, if there are any.
     pub(crate) fn next_check(&self) -> Option<MonoTime> {
-        (!self.waiting.is_empty()).then_some(self.next_check)
+        self.has_waiting().then_some(self.next_check)
     }
 
     /// Forgets routes that are not in force anymore.
--- a/crates/zinniadrift-core/src/steering/flows/open_flows.rs
+++ b/crates/zinniadrift-core/src/steering/flows/open_flows.rs
@@ -88,7 +88,7 @@
 
     /// Updates the estimates by a packet for `index`; returns whether the packet has to wait.
     fn observe(&mut self, now: MonoTime, seg: &Segment, index: TargetIndex) -> bool {
-        let is_waiting = self.flows.is_waiting(&seg.flow);
+        let is_waiting = self.gate.has_waiting() && self.flows.is_waiting(&seg.flow);
         match seg.kind {
             SegmentKind::Close if is_waiting => {
                 // The packets of the request have to arrive before the end of the flow.
@@ -97,7 +97,7 @@
             }
             SegmentKind::Close | SegmentKind::Reset => self.end_flow(seg),
             _ => {
-                let may_hold = self.may_hold(seg.flow.service);
+                let may_hold = seg.len > 0 && self.may_hold(seg.flow.service);
                 let observed =
                     self.flows
                         .record_packet(&mut self.directory, now, seg, index, may_hold);
--- a/tests/testsuite/edge_processes.rs
+++ b/tests/testsuite/edge_processes.rs
@@ -425,4 +425,28 @@
     assert_eq!(code, Some(4), "{text}");
     let (code, text) = run(&["--metrics-port", "many"]);
     assert_eq!(code, Some(2), "{text}");
+    let (code, text) = run(&["--set", "admission"]);
+    assert_eq!(code, Some(2), "{text}");
+    assert!(text.contains("NAME=VALUE"), "{text}");
+    let settings = json!({
+        "node_name": "front-1", "ip": "127.0.0.1", "zone": "lowell",
+        "listen": {"datagram_address": "127.0.0.1:1", "ready": "127.0.0.1:1"},
+        "bounds": {"grace_s": 6, "flow_lifetime_s": 60},
+        "platform": {"address": "127.0.0.1:1"},
+    });
+    let file = std::env::temp_dir().join(format!("zinniadrift-boot-{}.json", std::process::id()));
+    std::fs::write(&file, settings.to_string()).unwrap();
+    let check = |setting: &str| {
+        let path = file.to_str().unwrap();
+        run(&["--settings", path, "--check-settings", "--set", setting])
+    };
+    let (code, text) = check("admission.enabled=false");
+    assert_eq!(code, Some(0), "{text}");
+    for setting in ["admission.min_limit=0", "admission.speed=1"] {
+        let (code, text) = check(setting);
+        assert_eq!(code, Some(2), "{text}");
+        let name = setting.split('=').next().unwrap();
+        assert!(text.contains(name), "{text}");
+    }
+    std::fs::remove_file(&file).unwrap();
 }
