Hold no further requests once the process was asked to end

Cause, found by reading the change: on SIGTERM the waiting requests went on, but new ones could still wait, and those left at the exit were lost until their callers retransmitted. Now none waits after the signal.

--- a/crates/zinniadrift-core/src/steering/admission/gate.rs
+++ b/crates/zinniadrift-core/src/steering/admission/gate.rs
@@ -19,6 +19,8 @@
     /// The flows whose requests go on now.
     admitted: Vec<FlowKey>,
     next_check: MonoTime,
+    /// Whether no further request may wait.
+    is_closed: bool,
 }
 
 /// The interval at which waiting requests are checked without a response of their target.
@@ -87,7 +89,8 @@
         let cfg = &self.cfg.admission;
         let route = self.routes.get(service);
         let has_target = route.is_some_and(|r| r.latency_target.is_some());
-        cfg.enabled && has_target && self.gate.len() < cfg.max_waiting
+        let has_room = !self.gate.is_closed && self.gate.len() < cfg.max_waiting;
+        cfg.enabled && has_target && has_room
     }
 
     /// Lets a request wait whose first packet has just arrived.
@@ -128,7 +131,14 @@
         }
     }
 
-    /// Lets all waiting requests go on, for example before the process ends.
+    /// Lets all waiting requests go on and holds no further ones, because the process is about to
+    /// end.
+    pub fn stop_holding(&mut self, now: MonoTime) {
+        self.gate.is_closed = true;
+        self.admit_all(now);
+    }
+
+    /// Lets all waiting requests go on.
     pub fn admit_all(&mut self, now: MonoTime) {
         let waiting = std::mem::take(&mut self.gate.waiting);
         for req in waiting.into_values().flat_map(WaitingRequests::into_all) {
--- a/crates/zinniadrift-runtime/src/steering/driver.rs
+++ b/crates/zinniadrift-runtime/src/steering/driver.rs
@@ -107,7 +107,7 @@
                 Event::Leave => {
                     tracing::info!("leaving: reported as not ready, still forwarding");
                     leaving_since = Some(now);
-                    self.steering.admit_all(now);
+                    self.steering.stop_holding(now);
                     self.ready.send_replace(false);
                 }
                 Event::Tick => {
--- a/tests/testsuite/steering/admission.rs
+++ b/tests/testsuite/steering/admission.rs
@@ -258,8 +258,11 @@
     let mut callers = Callers::congested(30);
     let sent = callers.fill(12..20);
     let waiting = sent[sent.len() - 1] + 1;
-    callers.w.core.admit_all(callers.w.now);
+    callers.w.core.stop_holding(callers.w.now);
     assert_eq!(callers.replay(), [waiting]);
+    for port in waiting + 1..30 {
+        assert!(!callers.request_waits(port), "{port}");
+    }
 }
 
 /// Guards against a flow whose end overtakes its request.
