Let balancers get their first state from peers

Change: a balancer that starts asks the relays, one more every 100 ms, and lists the store only when none answered within 300 to 600 ms, different for each balancer. A balancer whose peer failed looks for another one for 500 to 800 ms before it calls the store. After a pause the store's changes are read from the known position instead of a list.

--- a/crates/zinniadrift-core/src/steering/decision.rs
+++ b/crates/zinniadrift-core/src/steering/decision.rs
@@ -5,7 +5,7 @@
 use crate::ids::ServiceId;
 use crate::units::Version;
 
-use crate::steering::{DropReason, ProbeResult, ResetReason, Revision};
+use crate::steering::{DropReason, Position, ProbeResult, ResetReason};
 
 /// A decision to be logged, with the state that it was based on.
 #[derive(Clone, Debug, PartialEq)]
@@ -23,7 +23,7 @@
         /// This balancer's requests and opening packets that await the target's response.
         outstanding: u32,
         /// The directory's revision.
-        directory: Revision,
+        directory: Position,
         /// The configuration's version.
         version: Version,
     },
@@ -36,7 +36,7 @@
         /// The name of the flow's target, if it is known.
         target: Option<Box<str>>,
         /// The directory's revision.
-        directory: Revision,
+        directory: Position,
         /// The time since the directory was last confirmed.
         directory_age: Option<Duration>,
         /// The configuration's version.
@@ -66,7 +66,7 @@
         /// The target's new state.
         state: &'static str,
         /// The directory's revision.
-        directory: Revision,
+        directory: Position,
     },
     /// A target was probed because callers retransmitted packets or its entry was removed.
     Probed {
--- a/crates/zinniadrift-core/src/steering/directory/change_log.rs
+++ b/crates/zinniadrift-core/src/steering/directory/change_log.rs
@@ -1,6 +1,6 @@
 use std::collections::VecDeque;
 
-use crate::steering::{Revision, TargetChange};
+use crate::steering::{Position, TargetChange};
 
 /// A bounded log of the latest directory changes, from which peers get only the changes that they
 /// are missing.
@@ -10,11 +10,11 @@
 /// not in it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ChangeLog {
-    changes: VecDeque<(Revision, TargetChange)>,
+    changes: VecDeque<(Position, TargetChange)>,
     /// The steps of which only the net change is known, oldest first.
     gaps: VecDeque<Gap>,
     /// The revision after which the log holds every change or gap.
-    complete_after: Revision,
+    complete_after: Position,
 }
 
 /// The part of the changes between two revisions that a set of changes holds.
@@ -29,8 +29,8 @@
 /// A step between two known revisions with unknown revisions in between.
 #[derive(Clone, Copy, Debug)]
 struct Gap {
-    from: Revision,
-    to: Revision,
+    from: Position,
+    to: Position,
 }
 
 /// The maximum number of changes, and of gaps. A rollout of all 3,500 targets of the planned size
@@ -39,7 +39,7 @@
 
 impl ChangeLog {
     /// Returns an empty log that is complete after `revision`.
-    pub(crate) fn starting_after(revision: Revision) -> Self {
+    pub(crate) fn starting_after(revision: Position) -> Self {
         Self {
             complete_after: revision,
             ..Self::default()
@@ -47,7 +47,7 @@
     }
 
     /// Appends a change that became known with `revision`.
-    pub(crate) fn push(&mut self, revision: Revision, change: TargetChange) {
+    pub(crate) fn push(&mut self, revision: Position, change: TargetChange) {
         if self.changes.len() >= CAPACITY
             && let Some((dropped, _)) = self.changes.pop_front()
         {
@@ -57,7 +57,7 @@
     }
 
     /// Records that only the net change between the two revisions is known.
-    pub(crate) fn push_net_change(&mut self, from: Revision, to: Revision) {
+    pub(crate) fn push_net_change(&mut self, from: Position, to: Position) {
         if from >= to {
             return;
         }
@@ -71,7 +71,7 @@
 
     /// Returns the changes after `revision`, or `None` if the log no longer holds all of them or
     /// `revision` lies inside a gap.
-    pub(crate) fn since(&self, revision: Revision) -> Option<Vec<TargetChange>> {
+    pub(crate) fn since(&self, revision: Position) -> Option<Vec<TargetChange>> {
         let is_inside = |g: &Gap| g.from < revision && revision < g.to;
         if revision < self.complete_after || self.gaps.iter().any(is_inside) {
             return None;
--- a/crates/zinniadrift-core/src/steering/directory/target_directory.rs
+++ b/crates/zinniadrift-core/src/steering/directory/target_directory.rs
@@ -10,7 +10,7 @@
 use crate::steering::directory::change_log::{ChangeLog, Coverage};
 use crate::steering::directory::cookie::TargetTag;
 use crate::steering::targets::target_record::{Presence, TargetRecord};
-use crate::steering::{DirectoryListing, Revision, TargetInstance};
+use crate::steering::{DirectoryListing, Position, TargetInstance};
 
 /// A change of the store's list of targets.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -30,7 +30,7 @@
 /// All targets that a cookie can identify: listed, lapsed and ended ones.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
-    as_of: Revision,
+    as_of: Position,
     records: HashMap<TargetIndex, TargetRecord>,
     by_name: HashMap<Box<str>, TargetIndex>,
     /// All targets with a tag; more than one only after a hash collision.
@@ -39,12 +39,12 @@
     next_index: u32,
     log: ChangeLog,
     /// The revision of the last change.
-    last_change: Revision,
+    last_change: Position,
 }
 
 impl Directory {
     /// Returns the latest known revision.
-    pub const fn as_of(&self) -> Revision {
+    pub const fn as_of(&self) -> Position {
         self.as_of
     }
 
@@ -65,12 +65,12 @@
     }
 
     /// Returns the changes after `revision`, or `None` if the log does not hold all of them.
-    pub(crate) fn changes_since(&self, revision: Revision) -> Option<Vec<TargetChange>> {
+    pub(crate) fn changes_since(&self, revision: Position) -> Option<Vec<TargetChange>> {
         self.log.since(revision)
     }
 
     /// Returns the revision of the last change.
-    pub const fn last_change(&self) -> Revision {
+    pub const fn last_change(&self) -> Position {
         self.last_change
     }
 
@@ -109,7 +109,7 @@
         &mut self,
         changes: Vec<TargetChange>,
         coverage: Coverage,
-        as_of: Revision,
+        as_of: Position,
         now: MonoTime,
     ) -> Vec<TargetChange> {
         if as_of < self.as_of {
--- a/crates/zinniadrift-core/src/steering/state_machine.rs
+++ b/crates/zinniadrift-core/src/steering/state_machine.rs
@@ -17,7 +17,7 @@
 use crate::steering::routes::route_profile::RouteProfile;
 use crate::steering::targets::zone_health::ZoneHealth;
 use crate::steering::{
-    Decision, Directory, ProbeRequest, Revision, RouteTable, Segment, SegmentKind,
+    Decision, Directory, Position, ProbeRequest, RouteTable, Segment, SegmentKind,
     SteeringCounters, SteeringSettings, SyncStatus, Verdict,
 };
 
@@ -34,7 +34,7 @@
     pub(super) directory_sync: SyncStatus,
     pub(super) routes: Arc<RouteTable>,
     pub(super) routes_sync: SyncStatus,
-    pub(super) routes_as_of: Revision,
+    pub(super) routes_as_of: Position,
     pub(super) route_history: RouteHistory,
     pub(super) flows: FlowTracker,
     pub(super) route_profiles: HashMap<SocketAddrV4, RouteProfile>,
@@ -68,7 +68,7 @@
             directory_sync: SyncStatus::default(),
             routes: Arc::default(),
             routes_sync: SyncStatus::default(),
-            routes_as_of: Revision::default(),
+            routes_as_of: Position::default(),
             route_history: RouteHistory::default(),
             route_profiles: HashMap::new(),
             gate: AdmissionGate::default(),
--- a/crates/zinniadrift-core/src/steering/sync/peer_selector.rs
+++ b/crates/zinniadrift-core/src/steering/sync/peer_selector.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use crate::steering::StoreNeed;
+use crate::units::MonoTime;
 
 /// Selects the peer that a balancer requests updates from, and decides whether the balancer needs
 /// the store too.
@@ -20,7 +21,7 @@
     is_relay: bool,
     /// The age of a confirmation beyond which another relay may know more.
     expected_max_age: Duration,
-    is_current: bool,
+    source: Source,
     /// The age of the confirmation in the last response.
     last_age: Duration,
     /// The peers abandoned since the last one that was up to date. Once all relays were tried, the
@@ -30,6 +31,33 @@
     referrals: usize,
 }
 
+/// Where a balancer's updates come from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Source {
+    /// The process has just started, and no peer has responded yet.
+    Starting {
+        /// When the balancer stops waiting for peers and turns to the store.
+        until: MonoTime,
+    },
+    /// A peer is up to date.
+    Peer,
+    /// The last peer failed a moment ago, and another one is sought.
+    Searching {
+        /// When the balancer turns to the store.
+        until: MonoTime,
+    },
+    /// No peer is up to date.
+    Store,
+}
+
+/// The time that a balancer has just started waits for the first response of a peer before it lists
+/// the store itself.
+const START_PATIENCE: Duration = Duration::from_millis(300);
+/// The time for which a balancer whose peer failed looks for another one before it calls the store.
+const SEARCH_PATIENCE: Duration = Duration::from_millis(500);
+/// The maximum addition to both, different for each balancer, so that balancers that lose their
+/// peers together do not call the store at the same moment.
+const MAX_STAGGER: Duration = Duration::from_millis(300);
 /// The age of the store's confirmation beyond which a balancer watches the store even before it has
 /// tried all relays.
 const MAX_AGE: Duration = Duration::from_secs(6);
@@ -43,24 +71,31 @@
 const MAX_REFERRALS: usize = 6;
 
 impl PeerSelector {
-    /// Returns a selector for `relays`; `offset` differs between balancers and selects the first
-    /// relay.
+    /// Returns a selector for `relays` of a process that starts at `now`; `offset` differs between
+    /// balancers and selects the first relay.
     ///
     /// A peer whose knowledge was confirmed longer ago than `expected_max_age` has probably lost
     /// its connection to the store.
     pub fn new(
+        now: MonoTime,
         relays: Vec<SocketAddr>,
         offset: usize,
         is_relay: bool,
         expected_max_age: Duration,
     ) -> Self {
+        let source = if relays.is_empty() {
+            Source::Store
+        } else {
+            let until = now + START_PATIENCE + stagger(offset);
+            Source::Starting { until }
+        };
         Self {
             relays,
             offset,
             rotation: 0,
             is_relay,
             expected_max_age,
-            is_current: false,
+            source,
             last_age: Duration::ZERO,
             tried: 0,
             referred_to: None,
@@ -77,6 +112,16 @@
         self.referred_to.or_else(|| Some(self.relays[position()?]))
     }
 
+    /// Returns the selector of the `n`-th request of a process that has just started.
+    ///
+    /// These requests go to different relays and overlap, so that a relay that is down does not
+    /// delay the start.
+    pub fn for_first_request(&self, n: usize) -> Self {
+        let mut selector = self.clone();
+        selector.rotation = selector.rotation.wrapping_add(n);
+        selector
+    }
+
     /// Returns how long the peer may hold the request open until it has an update.
     ///
     /// After a peer that may have lost the store, the other relays are asked without waiting.
@@ -97,20 +142,20 @@
         self.referrals = 0;
         self.last_age = age;
         if age <= self.expected_max_age {
-            self.is_current = true;
+            self.source = Source::Peer;
             self.tried = 0;
             return;
         }
         self.select_next();
         if age > MAX_AGE || self.tried >= self.relays.len() {
-            self.is_current = false;
+            self.source = Source::Store;
         }
     }
 
     /// Records that the peer refers this balancer to `peers` instead.
     ///
     /// Returns whether one of them is to be asked; too many referrals in a row count as a failure.
-    pub fn on_referral(&mut self, peers: &[SocketAddr]) -> bool {
+    pub fn on_referral(&mut self, now: MonoTime, peers: &[SocketAddr]) -> bool {
         // Balancers that share a relay differ in the quotient.
         let quotient = self.offset / self.relays.len().max(1);
         let choice = quotient.wrapping_add(self.rotation + self.referrals);
@@ -122,15 +167,18 @@
                 true
             }
             _ => {
-                self.on_failure();
+                self.on_failure(now);
                 false
             }
         }
     }
 
     /// Records that the peer did not respond.
-    pub fn on_failure(&mut self) {
-        self.is_current = false;
+    pub fn on_failure(&mut self, now: MonoTime) {
+        if self.source == Source::Peer {
+            let until = now + SEARCH_PATIENCE + stagger(self.offset);
+            self.source = Source::Searching { until };
+        }
         self.select_next();
     }
 
@@ -147,10 +195,18 @@
 
     /// Returns why the balancer has to watch the store, if it has to.
     pub const fn store_need(&self) -> StoreNeed {
-        match (self.is_relay, self.is_current) {
-            (true, _) => StoreNeed::Relay,
-            (false, true) => StoreNeed::None,
-            (false, false) => StoreNeed::NoRelay,
+        match self.source {
+            _ if self.is_relay => StoreNeed::Relay,
+            Source::Starting { until } | Source::Searching { until } => StoreNeed::After(until),
+            Source::Peer => StoreNeed::None,
+            Source::Store => StoreNeed::NoRelay,
         }
     }
 }
+
+/// Returns the addition to the patience of the balancer with this offset.
+fn stagger(offset: usize) -> Duration {
+    // The low bits select the relay.
+    let part = (offset >> 16) % 1_024;
+    MAX_STAGGER * u32::try_from(part).unwrap_or_default() / 1_024
+}
--- a/crates/zinniadrift-core/src/steering/sync/peer_update.rs
+++ b/crates/zinniadrift-core/src/steering/sync/peer_update.rs
@@ -4,15 +4,15 @@
 
 use crate::units::Version;
 
-use crate::steering::{DirectoryListing, Revision, RouteDelta, TargetChange};
+use crate::steering::{DirectoryListing, Position, RouteDelta, TargetChange};
 
 /// The state that a balancer has, which it sends when it requests updates from a peer.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct KnownState {
     /// The directory's revision.
-    pub targets: Revision,
+    pub targets: Position,
     /// The store's revision up to which the configuration is known.
-    pub routes: Revision,
+    pub routes: Position,
     /// The configuration's version.
     pub version: Version,
 }
--- a/crates/zinniadrift-core/src/steering/sync/sync_status.rs
+++ b/crates/zinniadrift-core/src/steering/sync/sync_status.rs
@@ -1,31 +1,7 @@
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
-use crate::number::number_newtype;
 use crate::units::MonoTime;
 
-use crate::steering::TargetInstance;
-
-number_newtype! {
-    /// A revision of the platform's store.
-    Revision(u64)
-}
-
-impl Revision {
-    /// The revision before every change.
-    pub const ZERO: Self = Self(0);
-}
-
-/// A full list of the targets at one revision of the store.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct DirectoryListing {
-    /// The store's revision.
-    pub as_of: Revision,
-    /// All targets that were registered at that revision.
-    pub targets: Vec<TargetInstance>,
-}
-
 /// Since when a part of the balancer's knowledge is available, and when it was last confirmed.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct SyncStatus {
--- a/crates/zinniadrift-core/src/steering/sync/updates.rs
+++ b/crates/zinniadrift-core/src/steering/sync/updates.rs
@@ -4,7 +4,7 @@
 
 use crate::steering::directory::change_log::Coverage;
 use crate::steering::{
-    Decision, DirectoryListing, DirectoryUpdate, InstanceState, KnownState, PeerUpdate, Revision,
+    Decision, DirectoryListing, DirectoryUpdate, InstanceState, KnownState, PeerUpdate, Position,
     RouteTable, Steering, TargetChange,
 };
 
@@ -36,7 +36,7 @@
         now: MonoTime,
         confirmed: MonoTime,
         changes: Vec<TargetChange>,
-        as_of: Revision,
+        as_of: Position,
     ) {
         self.apply_changes(now, confirmed, changes, Coverage::All, as_of);
     }
@@ -47,7 +47,7 @@
         confirmed: MonoTime,
         changes: Vec<TargetChange>,
         coverage: Coverage,
-        as_of: Revision,
+        as_of: Position,
     ) {
         if as_of < self.directory.as_of() {
             return;
@@ -129,7 +129,7 @@
         }
     }
 
-    fn record_change(&mut self, change: &TargetChange, directory: Revision) {
+    fn record_change(&mut self, change: &TargetChange, directory: Position) {
         if let TargetChange::Put(instance) = change {
             self.record_decision(Decision::Target {
                 target: instance.name.clone(),
@@ -168,7 +168,7 @@
         &mut self,
         now: MonoTime,
         confirmed: Option<MonoTime>,
-        as_of: Revision,
+        as_of: Position,
         table: Arc<RouteTable>,
     ) {
         if table.version() < self.routes.version() {
@@ -200,7 +200,7 @@
     /// Records that the configuration in force is the latest up to `as_of`.
     ///
     /// Before the first configuration there is nothing to confirm.
-    pub fn confirm_routes(&mut self, confirmed: MonoTime, as_of: Revision) {
+    pub fn confirm_routes(&mut self, confirmed: MonoTime, as_of: Position) {
         if self.routes.version() == Version::default() {
             return;
         }
--- a/crates/zinniadrift-core/src/steering/sync/watch_loop.rs
+++ b/crates/zinniadrift-core/src/steering/sync/watch_loop.rs
@@ -4,28 +4,32 @@
 
 use crate::units::MonoTime;
 
-use crate::steering::{Revision, WatchSettings};
+use crate::steering::{Position, WatchSettings};
 
 /// Why a balancer calls the store.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum StoreNeed {
     /// The balancer is a relay, on whose updates others depend.
     Relay,
-    /// No relay is up to date.
-    #[default]
+    /// No peer is up to date.
     NoRelay,
-    /// A relay provides the updates, so no call is needed.
+    /// Peers are being asked; no call is needed before the given time.
+    After(MonoTime),
+    /// A peer provides the updates, so no call is needed.
     None,
 }
 
 /// Chooses the calls that keep one kind of the store's objects up to date.
 ///
-/// It lists once and then watches. A failure discards nothing that is known.
+/// It lists once, unless peers provide the first state, and then watches. A failure discards nothing
+/// that is known.
 #[derive(Clone, Debug)]
 pub struct WatchLoop {
     cfg: WatchSettings,
-    position: Option<Revision>,
+    position: Option<Position>,
     listed: bool,
+    /// Whether the history after the known position is gone, so that only a list helps.
+    must_list: bool,
     /// Whether a response was current, so that refusals may be based on it.
     confirmed: bool,
     /// Whether the last call succeeded and nothing has intervened, so that the next call may wait
@@ -52,7 +56,7 @@
     /// Wait for changes after `from`.
     Watch {
         /// The revision up to which changes are known.
-        from: Revision,
+        from: Position,
         /// The maximum wait.
         wait: Duration,
     },
@@ -89,6 +93,7 @@
             cfg,
             position: None,
             listed: false,
+            must_list: false,
             confirmed: false,
             responsive: false,
             failures: 0,
@@ -99,17 +104,23 @@
     /// Returns the next step.
     ///
     /// `known` is the revision up to which peers have provided all changes.
-    pub fn next_step(&mut self, now: MonoTime, need: StoreNeed, known: Revision) -> StoreStep {
-        if self.position.is_some() && need == StoreNeed::None {
-            self.responsive = false;
-            return StoreStep::Idle;
+    pub fn next_step(&mut self, now: MonoTime, need: StoreNeed, known: Position) -> StoreStep {
+        match need {
+            StoreNeed::None => {
+                self.responsive = false;
+                return StoreStep::Idle;
+            }
+            StoreNeed::After(at) if now < at => {
+                self.responsive = false;
+                return StoreStep::WaitUntil(at);
+            }
+            StoreNeed::After(_) | StoreNeed::Relay | StoreNeed::NoRelay => {}
         }
-        // A relay confirms its first list at once; other balancers give a relay time to do so.
-        let confirms = need == StoreNeed::Relay && self.listed && !self.confirmed;
-        if now < self.not_before && !(confirms && self.failures == 0) {
+        if now < self.not_before {
             return StoreStep::WaitUntil(self.not_before);
         }
-        match self.position.map(|p| p.max(known)) {
+        let known = (known != Position::ZERO && !self.must_list).then_some(known);
+        match self.position.max(known) {
             None => StoreStep::List {
                 stale: !self.listed,
             },
@@ -124,19 +135,21 @@
         }
     }
 
-    /// Records a list that may be seconds old.
-    pub fn on_stale_list(&mut self, now: MonoTime, as_of: Revision) {
+    /// Records a list that may be seconds old; a watch without a wait follows at once.
+    pub fn on_stale_list(&mut self, now: MonoTime, as_of: Position) {
         self.failures = 0;
         self.listed = true;
+        self.must_list = false;
         self.position = Some(as_of);
-        self.not_before = now + self.cfg.relay_wait;
+        self.not_before = now;
     }
 
     /// Records a response that holds everything up to `as_of`; `changed` tells whether it had
     /// anything new.
-    pub fn on_response(&mut self, now: MonoTime, as_of: Revision, changed: bool) {
+    pub fn on_response(&mut self, now: MonoTime, as_of: Position, changed: bool) {
         self.failures = 0;
         self.listed = true;
+        self.must_list = false;
         self.confirmed = true;
         self.responsive = true;
         self.position = self.position.max(Some(as_of));
@@ -152,6 +165,8 @@
         self.responsive = false;
         if error == StoreCallError::Compacted {
             self.position = None;
+            self.must_list = true;
+            self.listed = true;
             if self.failures == 0 {
                 self.failures = 1;
                 return;
@@ -163,9 +178,11 @@
         self.not_before = now + pause.min(self.cfg.retry_max);
     }
 
-    /// Starts again with a list, for example after a pause of the process.
+    /// Starts again after a pause of the process: the next call reads all changes since the known
+    /// position and does not wait.
     pub fn restart(&mut self, now: MonoTime) {
-        self.position = None;
+        self.confirmed = false;
+        self.responsive = false;
         self.not_before = now;
     }
 }
--- a/crates/zinniadrift-core/src/steering/sync/watch_settings.rs
+++ b/crates/zinniadrift-core/src/steering/sync/watch_settings.rs
@@ -7,9 +7,6 @@
     pub watch_wait: Duration,
     /// The pause after a change, so that one call collects changes that follow each other closely.
     pub coalesce_delay: Duration,
-    /// The time that a balancer waits for a relay after its first, possibly stale, list before it
-    /// watches the store itself.
-    pub relay_wait: Duration,
     /// The first pause after a failed call; it doubles up to `retry_max`.
     pub retry_min: Duration,
     /// The maximum pause after failed calls.
@@ -32,7 +29,6 @@
         Self {
             watch_wait: Duration::from_secs(4),
             coalesce_delay: Duration::from_millis(400),
-            relay_wait: Duration::from_millis(300),
             retry_min: Duration::from_millis(100),
             retry_max: Duration::from_secs(1),
         }
--- a/crates/zinniadrift-lab/src/experiments/overload/balancer.rs
+++ b/crates/zinniadrift-lab/src/experiments/overload/balancer.rs
@@ -3,7 +3,7 @@
 
 use zinniadrift_core::flow::FlowKey;
 use zinniadrift_core::steering::{
-    DirectoryListing, Revision, RouteTable, Segment, Steering, SteeringSettings, TargetInstance,
+    DirectoryListing, Position, RouteTable, Segment, Steering, SteeringSettings, TargetInstance,
     Verdict,
 };
 use zinniadrift_core::units::MonoTime;
@@ -26,7 +26,7 @@
         routes: Arc<RouteTable>,
     ) -> Self {
         let mut core = Steering::new(cfg, seed);
-        let as_of = Revision::from(1);
+        let as_of = Position::from(1);
         let listing = DirectoryListing { as_of, targets };
         core.on_listing(now, Some(now), listing);
         core.on_routes(now, Some(now), as_of, routes);
--- a/crates/zinniadrift-lab/src/experiments/overload/balancer_events.rs
+++ b/crates/zinniadrift-lab/src/experiments/overload/balancer_events.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use zinniadrift_core::flow::FlowKey;
-use zinniadrift_core::steering::{ProbeResult, Revision, Segment, Verdict};
+use zinniadrift_core::steering::{Position, ProbeResult, Segment, Verdict};
 
 use super::event::{BalancerId, Event, TargetId};
 use super::simulation::{HOP, Simulation};
@@ -101,7 +101,7 @@
 
     pub(super) fn on_confirm(&mut self) {
         self.revision += 1;
-        let as_of = Revision::from(self.revision);
+        let as_of = Position::from(self.revision);
         for balancer in &mut self.balancers {
             let core = &mut balancer.core;
             core.on_changes(self.now, self.now, Vec::new(), as_of);
--- a/crates/zinniadrift-proto/src/lib.rs
+++ b/crates/zinniadrift-proto/src/lib.rs
@@ -9,14 +9,23 @@
 mod datagram;
 mod datagram_error;
 mod heartbeat;
+mod known_state;
+mod nanos;
+mod peer_update;
+mod peer_update_error;
 mod pin_group;
 mod publication_mark;
 mod rebase_status;
+mod route_delta;
+mod service_address;
 mod snapshot_part;
 mod stored_answer;
+mod target_change;
+mod zone_table;
 
 pub use datagram::MAX_PEER_DATAGRAM_BYTES;
 pub use datagram_error::DatagramError;
+pub use peer_update_error::PeerUpdateError;
 
 /// The generated protobuf messages and tonic stubs.
 #[allow(missing_docs, unreachable_pub, clippy::all, clippy::pedantic)]
--- a/crates/zinniadrift-runtime/src/steering/daemon.rs
+++ b/crates/zinniadrift-runtime/src/steering/daemon.rs
@@ -5,7 +5,7 @@
 use snafu::ResultExt;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -61,11 +61,11 @@
     let (relays_tx, relays) = watch::channel(cfg.seeds.clone());
     let (inputs_tx, inputs) = mpsc::channel(INPUT_QUEUE_CAPACITY);
     let (state, state_rx) = watch::channel(DriverState::default());
-    let (need_tx, need) = watch::channel(StoreNeed::default());
+    // The task that asks peers decides when the store is needed.
+    let (need_tx, need) = watch::channel(StoreNeed::None);
     let (ready, ready_rx) = watch::channel(false);
 
     let histograms = EdgeHistograms::new();
-    let store_failed = Arc::new(Notify::new());
     let fan_out = Arc::new(Mutex::new(FanOut::new(FanOut::DEFAULT_CAPACITY)));
     for feed in [Feed::Targets, Feed::Routes] {
         let task = FeedTask {
@@ -76,7 +76,6 @@
             inputs: inputs_tx.clone(),
             state: state_rx.clone(),
             need: need.clone(),
-            store_failed: Arc::clone(&store_failed),
             histograms: histograms.clone(),
             stop: stop.clone(),
         };
@@ -84,13 +83,13 @@
     }
     let peers = PeerTask {
         relays,
+        clock,
         own_address: cfg.peer,
         zone: cfg.steering.zone.clone(),
         relay_offset: xxh3_64(cfg.name.as_bytes()) as usize,
         expected_max_age: cfg.watch.expected_max_age(),
         state: state_rx.clone(),
         inputs: inputs_tx.clone(),
-        store_failed,
         need: need_tx,
         stop: stop.clone(),
     };
--- a/crates/zinniadrift-runtime/src/steering/driver.rs
+++ b/crates/zinniadrift-runtime/src/steering/driver.rs
@@ -9,7 +9,7 @@
 use tokio_util::sync::CancellationToken;
 
 use zinniadrift_core::steering::{
-    FanOut, FlowReset, PauseDetector, ProbeResult, Revision, Steering, Verdict,
+    FanOut, FlowReset, PauseDetector, Position, ProbeResult, Steering, Verdict,
 };
 use zinniadrift_core::units::{MonoTime, Version};
 
@@ -40,7 +40,7 @@
 /// The known revision and version of the store's content, and the time since the store confirmed
 /// each.
 struct Freshness {
-    last_change: Revision,
+    last_change: Position,
     version: Version,
     directory_age: Option<Duration>,
     routes_age: Option<Duration>,
--- a/crates/zinniadrift-runtime/src/steering/feed_task.rs
+++ b/crates/zinniadrift-runtime/src/steering/feed_task.rs
@@ -1,10 +1,10 @@
 use std::sync::Arc;
 
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
 use zinniadrift_core::steering::{
-    Revision, StoreCallError, StoreNeed, StoreStep, WatchLoop, WatchSettings,
+    Position, StoreCallError, StoreNeed, StoreStep, WatchLoop, WatchSettings,
 };
 
 use super::edge_metrics::EdgeHistograms;
@@ -23,8 +23,6 @@
     pub(super) state: watch::Receiver<DriverState>,
     /// The reason for calling the store, if there is one.
     pub(super) need: watch::Receiver<StoreNeed>,
-    /// Notified when a call to the store fails.
-    pub(super) store_failed: Arc<Notify>,
     pub(super) histograms: EdgeHistograms,
     pub(super) stop: CancellationToken,
 }
@@ -64,7 +62,7 @@
         }
     }
 
-    fn known_revision(&self, state: DriverState) -> Revision {
+    fn known_revision(&self, state: DriverState) -> Position {
         match self.feed {
             Feed::Targets => state.known.targets,
             Feed::Routes => state.known.routes,
@@ -97,7 +95,6 @@
             }
             Err(error) => {
                 watch_loop.on_failure(now, error);
-                self.store_failed.notify_one();
                 if !std::mem::replace(failing, true) {
                     tracing::warn!(%feed, cause = %error, "store call failed");
                 }
--- a/crates/zinniadrift-runtime/src/steering/input.rs
+++ b/crates/zinniadrift-runtime/src/steering/input.rs
@@ -2,7 +2,7 @@
 
 use tokio::sync::oneshot;
 
-use zinniadrift_core::steering::{KnownState, PeerUpdate, Revision};
+use zinniadrift_core::steering::{KnownState, PeerUpdate, Position};
 use zinniadrift_core::units::MonoTime;
 
 use super::{EdgeSettings, Feed, FeedResponse};
@@ -31,7 +31,7 @@
 pub(super) struct DriverState {
     pub(super) known: KnownState,
     /// The revision of the directory's last change.
-    pub(super) last_change: Revision,
+    pub(super) last_change: Position,
     /// The time at which the store last confirmed the known state.
     pub(super) last_confirmed: Option<MonoTime>,
     /// The number of pauses of the process; after each one the store has to be read again.
@@ -46,6 +46,10 @@
         known: KnownState,
         last_confirmed: Option<MonoTime>,
     ) -> bool {
+        // What is not confirmed is not passed on.
+        if self.last_confirmed.is_none() {
+            return false;
+        }
         let is_newly_confirmed = match (self.last_confirmed, last_confirmed) {
             (Some(new), Some(old)) => new >= old + MIN_CONFIRMATION_ADVANCE,
             (new, None) => new.is_some(),
--- a/crates/zinniadrift-runtime/src/steering/peer_message.rs
+++ b/crates/zinniadrift-runtime/src/steering/peer_message.rs
@@ -1,8 +1,10 @@
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 
+use prost::Message;
 use serde::{Deserialize, Serialize};
 
 use zinniadrift_core::steering::{KnownState, PeerInfo, PeerUpdate};
+use zinniadrift_proto::{PeerUpdateError, v1};
 
 /// A request for the updates that the requesting balancer is missing.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -28,3 +30,42 @@
     #[serde(rename = "Ask")]
     Refer(Vec<SocketAddr>),
 }
+
+/// The content type of a response encoded as [`v1::PeerResponse`], which the requesting balancer
+/// accepts by naming it; builds that do not name it get JSON.
+pub(super) const COMPACT: &str = "application/x-zinniadrift-peer-v1";
+
+impl PeerResponse {
+    /// Encodes the response as a [`v1::PeerResponse`].
+    pub(super) fn into_compact(self) -> Vec<u8> {
+        let body = match self {
+            Self::Update(update) => v1::peer_response::Body::Update((*update).into()),
+            Self::Refer(peers) => {
+                let peers = peers.into_iter().filter_map(|peer| match peer {
+                    SocketAddr::V4(address) => Some(address.into()),
+                    SocketAddr::V6(_) => None,
+                });
+                let peers = peers.collect();
+                v1::peer_response::Body::Referral(v1::PeerReferral { peers })
+            }
+        };
+        v1::PeerResponse { body: Some(body) }.encode_to_vec()
+    }
+
+    /// Decodes a [`v1::PeerResponse`].
+    pub(super) fn from_compact(bytes: &[u8]) -> Result<Self, PeerUpdateError> {
+        let response = v1::PeerResponse::decode(bytes);
+        let response = response.map_err(|_| PeerUpdateError::Malformed)?;
+        match response.body {
+            Some(v1::peer_response::Body::Update(update)) => {
+                Ok(Self::Update(Box::new(update.try_into()?)))
+            }
+            Some(v1::peer_response::Body::Referral(referral)) => {
+                let peers = referral.peers.into_iter().map(SocketAddrV4::try_from);
+                let peers: Result<Vec<SocketAddr>, _> = peers.map(|p| p.map(Into::into)).collect();
+                peers.map(Self::Refer)
+            }
+            None => Err(PeerUpdateError::Missing("body")),
+        }
+    }
+}
--- a/crates/zinniadrift-runtime/src/steering/peer_service.rs
+++ b/crates/zinniadrift-runtime/src/steering/peer_service.rs
@@ -12,7 +12,7 @@
 
 use super::http_server::{JSON, respond};
 use super::input::{DriverState, Input};
-use super::peer_message::{PeerRequest, PeerResponse};
+use super::peer_message::{COMPACT, PeerRequest, PeerResponse};
 use crate::daemon::RunClock;
 
 /// The path on which a peer serves updates.
@@ -38,6 +38,12 @@
         if req.uri().path() != NEWS_PATH {
             return respond(StatusCode::NOT_FOUND, JSON, Vec::new());
         }
+        let accept = req.headers().get(header::ACCEPT);
+        let format = if accept.is_some_and(|a| a == COMPACT) {
+            Format::Compact
+        } else {
+            Format::Json
+        };
         let body = Limited::new(req.into_body(), MAX_REQUEST_BYTES)
             .collect()
             .await;
@@ -46,7 +52,11 @@
         let Some(request) = request else {
             return respond(StatusCode::BAD_REQUEST, JSON, Vec::new());
         };
-        if let Some(resp) = request.requester.as_ref().and_then(|r| self.refer(r)) {
+        if let Some(resp) = request
+            .requester
+            .as_ref()
+            .and_then(|r| self.refer(r, format))
+        {
             return resp;
         }
         let wait = Duration::from_millis(request.wait_ms).min(MAX_WAIT);
@@ -68,17 +78,17 @@
         let Some(update) = update else {
             return respond(StatusCode::SERVICE_UNAVAILABLE, JSON, Vec::new());
         };
-        respond_with(&PeerResponse::Update(Box::new(update)))
+        format.respond(PeerResponse::Update(Box::new(update)))
     }
 
     /// Returns the response that refers a peer to others, or `None` if the peer is served here.
-    fn refer(&self, requester: &PeerInfo) -> Option<Response<Full<Bytes>>> {
+    fn refer(&self, requester: &PeerInfo, format: Format) -> Option<Response<Full<Bytes>>> {
         let admission = self.fan_out.lock().admit(self.clock.now(), requester);
         let Admission::Refer(peers) = admission else {
             return None;
         };
         tracing::debug!(asker = %requester.address, peers = peers.len(), "peer referred to others");
-        let mut resp = respond_with(&PeerResponse::Refer(peers));
+        let mut resp = format.respond(PeerResponse::Refer(peers));
         // The peer sends no further request soon, and the number of connections is limited.
         let close = header::HeaderValue::from_static("close");
         resp.headers_mut().insert(header::CONNECTION, close);
@@ -86,12 +96,24 @@
     }
 }
 
-fn respond_with(response: &PeerResponse) -> Response<Full<Bytes>> {
-    match serde_json::to_vec(response) {
-        Ok(text) => respond(StatusCode::OK, JSON, text),
-        Err(e) => {
-            tracing::error!(error = %e, "cannot encode a response to a peer");
-            respond(StatusCode::INTERNAL_SERVER_ERROR, JSON, Vec::new())
+/// The encoding of a response, as the requesting balancer accepts it.
+#[derive(Clone, Copy, Debug)]
+enum Format {
+    Json,
+    Compact,
+}
+
+impl Format {
+    fn respond(self, response: PeerResponse) -> Response<Full<Bytes>> {
+        match self {
+            Self::Compact => respond(StatusCode::OK, COMPACT, response.into_compact()),
+            Self::Json => match serde_json::to_vec(&response) {
+                Ok(text) => respond(StatusCode::OK, JSON, text),
+                Err(e) => {
+                    tracing::error!(error = %e, "cannot encode a response to a peer");
+                    respond(StatusCode::INTERNAL_SERVER_ERROR, JSON, Vec::new())
+                }
+            },
         }
     }
 }
--- a/crates/zinniadrift-runtime/src/steering/peer_task.rs
+++ b/crates/zinniadrift-runtime/src/steering/peer_task.rs
@@ -1,19 +1,21 @@
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
-use http::{Request, StatusCode};
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use http::{Request, StatusCode, header};
 use http_body_util::Full;
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
 use zinniadrift_core::ids::ZoneName;
-use zinniadrift_core::steering::{KnownState, PeerInfo, PeerSelector, Revision, StoreNeed};
-use zinniadrift_core::units::Version;
+use zinniadrift_core::steering::{PeerInfo, PeerSelector, PeerUpdate, StoreNeed};
 use zinniadrift_store::{HttpTransport, StoreError};
 
+use crate::daemon::RunClock;
+
 use super::input::{DriverState, Input};
-use super::peer_message::{PeerRequest, PeerResponse};
+use super::peer_message::{COMPACT, PeerRequest, PeerResponse};
 use super::peer_service::NEWS_PATH;
 
 /// The time-out of a request in addition to its wait. Peers respond within milliseconds, slow ones
@@ -26,14 +28,19 @@
 /// relays in turn.
 const URGENT_RETRY_DELAY: Duration = Duration::from_millis(30);
 
-/// How long a balancer that has just started waits for the first lists from the store before it
-/// asks peers. Listing the planned 3,500 targets takes a second on a link of 10 Mbit/s.
-const FIRST_LISTS_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The interval between the first requests of a balancer that has just started, each of which goes to
+/// another relay.
+const FIRST_REQUEST_INTERVAL: Duration = Duration::from_millis(100);
+/// The time for which a peer may hold the first request open until it has confirmed its own state.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(1_000);
+/// The maximum number of first requests at a time, as many as there are relays.
+const MAX_FIRST_REQUESTS: usize = 3;
 
 /// A task that requests updates from relays or from the peers that they refer to.
 pub(super) struct PeerTask {
     /// The addresses of all relays; this balancer's own address is skipped.
     pub(super) relays: watch::Receiver<Vec<SocketAddr>>,
+    pub(super) clock: RunClock,
     pub(super) own_address: Option<SocketAddr>,
     pub(super) zone: ZoneName,
     /// Distributes the balancers over the relays.
@@ -42,8 +49,6 @@
     pub(super) expected_max_age: Duration,
     pub(super) state: watch::Receiver<DriverState>,
     pub(super) inputs: mpsc::Sender<Input>,
-    /// Notified when a call to the store fails.
-    pub(super) store_failed: Arc<Notify>,
     /// Publishes to the feed tasks whether and why the store has to be called.
     pub(super) need: watch::Sender<StoreNeed>,
     pub(super) stop: CancellationToken,
@@ -53,7 +58,6 @@
     /// Runs until the process stops.
     pub(super) async fn run(mut self) {
         let transport = HttpTransport::new();
-        self.wait_for_first_lists().await;
         loop {
             let all = self.relays.borrow_and_update().clone();
             let is_relay = self.own_address.is_some_and(|a| all.contains(&a));
@@ -66,43 +70,94 @@
                     address,
                     zone: self.zone.clone(),
                 });
-            let mut selector =
-                PeerSelector::new(others, self.relay_offset, is_relay, self.expected_max_age);
-            self.need.send_replace(selector.store_need());
-            while !self.relays.has_changed().unwrap_or(true) {
-                let Some(peer) = selector.peer() else {
-                    break;
-                };
-                tokio::select! {
-                    () = self.stop.cancelled() => return,
-                    () = self.request_update(
-                        &transport,
-                        peer,
-                        requester.clone(),
-                        &mut selector,
-                    ) => {}
+            let mut selector = PeerSelector::new(
+                self.clock.now(),
+                others,
+                self.relay_offset,
+                is_relay,
+                self.expected_max_age,
+            );
+            self.publish_need(selector.store_need());
+            let stop = self.stop.clone();
+            let run = async {
+                self.request_first_state(&transport, requester.as_ref(), &mut selector)
+                    .await;
+                while let Some(peer) = selector.peer() {
+                    self.request_update(&transport, peer, requester.clone(), &mut selector)
+                        .await;
                 }
+                std::future::pending::<()>().await;
+            };
+            let mut relays = self.relays.clone();
+            tokio::select! {
+                () = stop.cancelled() => return,
+                Ok(()) = relays.changed() => {}
+                () = run => {}
             }
+        }
+    }
+
+    /// Asks one relay after the other, without waiting for the previous one's response, until a
+    /// peer has sent its state or the state is known from the store.
+    async fn request_first_state(
+        &self,
+        transport: &HttpTransport,
+        requester: Option<&PeerInfo>,
+        selector: &mut PeerSelector,
+    ) {
+        if selector.peer().is_none() {
+            return;
+        }
+        let mut state = self.state.clone();
+        let mut attempts = FuturesUnordered::new();
+        let mut ticks = tokio::time::interval(FIRST_REQUEST_INTERVAL);
+        let mut started = 0;
+        loop {
             tokio::select! {
-                () = self.stop.cancelled() => return,
-                Ok(()) = self.relays.changed() => {}
+                () = wait_until_known(&mut state) => return,
+                _ = ticks.tick() => {
+                    if attempts.len() < MAX_FIRST_REQUESTS {
+                        let selector = selector.for_first_request(started);
+                        attempts.push(self.first_request(transport, requester, selector));
+                        started += 1;
+                    }
+                }
+                Some(attempt) = attempts.next(), if !attempts.is_empty() => match attempt {
+                    Ok((winner, update)) => {
+                        *selector = winner;
+                        self.apply(selector, update).await;
+                        return;
+                    }
+                    Err(e) => tracing::debug!(error = %e, "first request to a peer failed"),
+                }
             }
         }
     }
 
-    /// Waits until the first lists from the store are known, a call to the store fails or
-    /// [`FIRST_LISTS_TIMEOUT`] has passed, so that peers on slow links need not send the full
-    /// state.
-    async fn wait_for_first_lists(&mut self) {
-        let is_known = |s: &DriverState| {
-            s.known.targets != Revision::ZERO && s.known.version != Version::default()
-        };
-        tokio::select! {
-            // If the lists are not known, peers are asked for the full state.
-            _ = self.state.wait_for(is_known) => {}
-            () = self.store_failed.notified() => {}
-            () = tokio::time::sleep(FIRST_LISTS_TIMEOUT) => {}
+    /// Requests the state from the selector's peer, or from those that it refers to.
+    async fn first_request(
+        &self,
+        transport: &HttpTransport,
+        requester: Option<&PeerInfo>,
+        mut selector: PeerSelector,
+    ) -> Result<(PeerSelector, Box<PeerUpdate>), StoreError> {
+        while let Some(peer) = selector.peer() {
+            let request = PeerRequest {
+                known: self.state.borrow().known,
+                wait_ms: whole_millis(FIRST_REQUEST_WAIT),
+                requester: requester.cloned(),
+            };
+            let timeout = FIRST_REQUEST_WAIT + RESPONSE_TIMEOUT;
+            match send_request(transport, peer, &request, timeout).await? {
+                PeerResponse::Update(update) => return Ok((selector, update)),
+                PeerResponse::Refer(peers) => {
+                    if !selector.on_referral(self.clock.now(), &peers) {
+                        break;
+                    }
+                }
+            }
         }
+        Err(StoreError::unavailable("too many referrals"))
     }
 
     async fn request_update(
@@ -112,30 +167,21 @@
         requester: Option<PeerInfo>,
         selector: &mut PeerSelector,
     ) {
-        let known = self.state.borrow().known;
-        // Without any state the peer has an update at once, so a relay that does not respond
-        // immediately is skipped.
-        let wait = if known == KnownState::default() {
-            Duration::ZERO
-        } else {
-            selector.long_poll_wait()
-        };
+        let wait = selector.long_poll_wait();
         let request = PeerRequest {
-            known,
-            wait_ms: u64::try_from(wait.as_millis()).unwrap_or(u64::MAX),
+            known: self.state.borrow().known,
+            wait_ms: whole_millis(wait),
             requester,
         };
         let before = selector.store_need();
         let response = send_request(transport, peer, &request, wait + RESPONSE_TIMEOUT).await;
-        let mut age = None;
-        let delay = match &response {
+        let now = self.clock.now();
+        let delay = match response {
             Ok(PeerResponse::Update(update)) => {
-                let oldest = update.directory_age.max(update.routes_age);
-                selector.on_response(oldest);
-                age = u64::try_from(oldest.as_millis()).ok();
+                self.apply(selector, update).await;
                 Duration::ZERO
             }
-            Ok(PeerResponse::Refer(peers)) if selector.on_referral(peers) => Duration::ZERO,
+            Ok(PeerResponse::Refer(peers)) if selector.on_referral(now, &peers) => Duration::ZERO,
             Ok(PeerResponse::Refer(peers)) => {
                 tracing::debug!(
                     %peer,
@@ -146,7 +192,7 @@
             }
             Err(e) => {
                 tracing::debug!(%peer, error = %e, "peer did not respond");
-                selector.on_failure();
+                selector.on_failure(now);
                 if wait.is_zero() {
                     URGENT_RETRY_DELAY
                 } else {
@@ -156,16 +202,40 @@
         };
         let after = selector.store_need();
         if before != after {
-            tracing::info!(%peer, age_ms = age, store_need = ?after, "source of news changed");
-            self.need.send_replace(after);
-        }
-        if let Ok(PeerResponse::Update(update)) = response {
-            // The driver drops the receiver only when the process stops.
-            let sent = self.inputs.send(Input::PeerUpdate(update)).await;
-            sent.unwrap_or_default();
+            tracing::info!(%peer, store_need = ?after, "source of news changed");
         }
+        self.publish_need(after);
         tokio::time::sleep(delay).await;
     }
+
+    /// Passes a peer's update to the driver.
+    async fn apply(&self, selector: &mut PeerSelector, update: Box<PeerUpdate>) {
+        selector.on_response(update.directory_age.max(update.routes_age));
+        // The driver drops the receiver only when the process stops.
+        let sent = self.inputs.send(Input::PeerUpdate(update)).await;
+        sent.unwrap_or_default();
+        self.publish_need(selector.store_need());
+    }
+
+    fn publish_need(&self, need: StoreNeed) {
+        self.need
+            .send_if_modified(|n| std::mem::replace(n, need) != need);
+    }
+}
+
+/// Waits until the state is confirmed; forever if the driver has ended.
+async fn wait_until_known(state: &mut watch::Receiver<DriverState>) {
+    let has_ended = state
+        .wait_for(|s| s.last_confirmed.is_some())
+        .await
+        .is_err();
+    if has_ended {
+        std::future::pending::<()>().await;
+    }
+}
+
+fn whole_millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
 async fn send_request(
@@ -176,13 +246,20 @@
 ) -> Result<PeerResponse, StoreError> {
     let body = serde_json::to_vec(request).map_err(StoreError::unavailable)?;
     let uri = format!("http://{peer}{NEWS_PATH}");
-    let req = Request::post(uri).body(Full::new(body.into()));
+    let req = Request::post(uri).header(header::ACCEPT, COMPACT);
+    let req = req.body(Full::new(body.into()));
     let req = req.map_err(StoreError::unavailable)?;
-    let (status, body) = transport.call(req, timeout).await?;
-    if status != StatusCode::OK {
+    let resp = transport.call(req, timeout).await?;
+    if resp.status() != StatusCode::OK {
         return Err(StoreError::Refused {
-            status: status.as_u16(),
+            status: resp.status().as_u16(),
         });
     }
-    serde_json::from_slice(&body).map_err(StoreError::unavailable)
+    // A build that does not know the compact format responds in JSON.
+    let content_type = resp.headers().get(header::CONTENT_TYPE);
+    if content_type.is_some_and(|t| t == COMPACT) {
+        PeerResponse::from_compact(resp.body()).map_err(StoreError::unavailable)
+    } else {
+        serde_json::from_slice(resp.body()).map_err(StoreError::unavailable)
+    }
 }
--- a/crates/zinniadrift-runtime/src/steering/platform_adapter.rs
+++ b/crates/zinniadrift-runtime/src/steering/platform_adapter.rs
@@ -5,7 +5,7 @@
 
 use zinniadrift_core::flow::FlowKey;
 use zinniadrift_core::steering::{
-    Cookie, DirectoryListing, InstanceId, Revision, RouteTable, Segment, StoreCallError,
+    Cookie, DirectoryListing, InstanceId, Position, RouteTable, Segment, StoreCallError,
     TargetChange,
 };
 
@@ -39,7 +39,7 @@
     fn watch(
         &self,
         feed: Feed,
-        from: Revision,
+        from: Position,
         wait: Duration,
     ) -> impl Future<Output = Result<FeedResponse, StoreCallError>> + Send;
 }
@@ -58,7 +58,7 @@
 #[derive(Clone, Debug)]
 pub struct FeedResponse {
     /// The revision up to which the response is complete.
-    pub as_of: Revision,
+    pub as_of: Position,
     /// Whether the response may be seconds old.
     pub stale: bool,
     /// The new content; `None` if nothing changed.
--- a/crates/zinniadrift-store/src/http_store.rs
+++ b/crates/zinniadrift-store/src/http_store.rs
@@ -56,9 +56,9 @@
         timeout: Duration,
     ) -> Result<Option<T>, StoreError> {
         let req = self.request(Method::GET, path, Bytes::new(), Precondition::None);
-        let (status, body) = self.transport.call(req, timeout).await?;
-        match status {
-            StatusCode::OK => serde_json::from_slice(&body)
+        let resp = self.transport.call(req, timeout).await?;
+        match resp.status() {
+            StatusCode::OK => serde_json::from_slice(resp.body())
                 .map(Some)
                 .map_err(StoreError::unavailable),
             StatusCode::NOT_FOUND => Ok(None),
@@ -80,9 +80,9 @@
     async fn put(&self, key: &str, value: Value, pre: Precondition) -> Result<u64, StoreError> {
         let path = format!("/objects/{key}");
         let req = self.request(Method::PUT, &path, value.to_string().into(), pre);
-        let (status, body) = self.transport.call(req, self.timeout).await?;
-        match status {
-            StatusCode::OK => serde_json::from_slice(&body).map_err(StoreError::unavailable),
+        let resp = self.transport.call(req, self.timeout).await?;
+        match resp.status() {
+            StatusCode::OK => serde_json::from_slice(resp.body()).map_err(StoreError::unavailable),
             status => Err(from_status(status, key)),
         }
     }
--- a/crates/zinniadrift-store/src/http_transport.rs
+++ b/crates/zinniadrift-store/src/http_transport.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -54,17 +54,17 @@
         &self,
         req: Request<Full<Bytes>>,
         limit: Duration,
-    ) -> Result<(StatusCode, Bytes), StoreError> {
+    ) -> Result<Response<Bytes>, StoreError> {
         let exchange = async {
             let resp = self
                 .client
                 .request(req)
                 .await
                 .map_err(StoreError::unavailable)?;
-            let status = resp.status();
-            let body = Limited::new(resp.into_body(), MAX_BODY_BYTES);
+            let (parts, body) = resp.into_parts();
+            let body = Limited::new(body, MAX_BODY_BYTES);
             let body = body.collect().await.map_err(StoreError::unavailable)?;
-            Ok((status, body.to_bytes()))
+            Ok(Response::from_parts(parts, body.to_bytes()))
         };
         match tokio::time::timeout(limit, exchange).await {
             Ok(result) => result,
--- a/tests/testsuite/edge_processes.rs
+++ b/tests/testsuite/edge_processes.rs
@@ -4,7 +4,11 @@
 use std::process::{Command, Stdio};
 use std::time::Duration;
 
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
 use nix::sys::signal::Signal;
+use prost::Message;
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpStream, UdpSocket};
@@ -16,6 +20,9 @@
     Refusal, StoreFaults, TestCluster, TestClusterSettings,
 };
 
+use zinniadrift_proto::v1;
+use zinniadrift_store::HttpTransport;
+
 use crate::processes_testbed::program;
 
 /// The time-out for a change to become visible; generous, because the host may be very busy.
@@ -188,6 +195,48 @@
     cluster.stop(true).await;
 }
 
+/// Guards against builds that do not understand each other during a rolling upgrade: a build before
+/// the compact format accepts JSON only and names no content type.
+#[tokio::test]
+async fn peers_of_earlier_builds_get_json() {
+    let cluster = start_cluster(12, 1, 2).await;
+    let host = AddressPlan::balancer_host(0);
+    let peer = cluster.plan.address(host, AddressPlan::PEER_PORT);
+    let ready = cluster.plan.address(host, AddressPlan::READINESS_PORT);
+    wait_until_listening(ready).await;
+    let request = json!({"known": {"targets": 0, "routes": 0, "version": 0}, "wait_ms": 5_000,
+        "asker": null});
+    let post = |accept: &'static str| async move {
+        let req = Request::post(format!("http://{peer}/steering/news")).header("accept", accept);
+        let req = req.body(Full::new(request_body(&request))).unwrap();
+        let resp = HttpTransport::new()
+            .call(req, CHANGE_TIMEOUT)
+            .await
+            .unwrap();
+        let content_type = resp.headers()["content-type"].to_str().unwrap().to_owned();
+        (content_type, resp.into_body())
+    };
+    let (content_type, body) = post.clone()("*/*").await;
+    assert_eq!(content_type, "application/json");
+    let update: serde_json::Value = serde_json::from_slice(&body).unwrap();
+    let targets = &update["News"]["targets"]["All"];
+    assert_eq!(targets["targets"].as_array().unwrap().len(), 2);
+    assert!(targets["as_of"].is_u64(), "{targets}");
+    let compact = "application/x-zinniadrift-peer-v1";
+    let (content_type, body) = post(compact).await;
+    assert_eq!(content_type, compact);
+    let response = v1::PeerResponse::decode(body).unwrap();
+    let Some(v1::peer_response::Body::Update(update)) = response.body else {
+        panic!("no update");
+    };
+    assert_eq!(update.changes.len(), 2);
+    cluster.stop(true).await;
+}
+
+fn request_body(request: &serde_json::Value) -> Bytes {
+    request.to_string().into()
+}
+
 /// Guards against every balancer watching the store, which makes calls grow with the fleet.
 #[tokio::test]
 async fn store_calls_do_not_grow_with_balancers() {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod membership;
 mod metrics;
 mod overload;
+mod peer_codec;
 mod platform_edits;
 mod platform_history;
 mod processes;
