Wait for peers that have no state yet, and retry a lost store less often

Change: a balancer that starts waits up to 2 s while peers respond that have no state yet; a balancer behind others waits 4 s for these when they have lost the store; others than relays retry three times as slowly; a balancer answers 16 to 48 peers, by the rate of its link, so that fewer are two hops away.

--- a/crates/zinniadrift-core/src/steering/sync/fan_out.rs
+++ b/crates/zinniadrift-core/src/steering/sync/fan_out.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::ZoneName;
-use crate::units::MonoTime;
+use crate::units::{LinkRate, MonoTime};
 
 /// Admission control for peers that request updates from this balancer.
 ///
@@ -41,13 +41,25 @@
     expires_at: MonoTime,
 }
 
+/// The bounds of the number of peers, and the share of the link that each needs, in Mbit/s: a full
+/// list of 600 targets then takes a peer 60 ms when all peers start at once.
+const MIN_CAPACITY: usize = 16;
+const MAX_CAPACITY: usize = 48;
+const MBPS_PER_PEER: u32 = 4;
 /// How long a lease lasts after a request; a peer sends a request at least once a second.
 const LEASE_DURATION: Duration = Duration::from_secs(3);
 
 impl FanOut {
-    /// The number of peers that a balancer serves: with 16, three relays reach 816 balancers in two
-    /// hops and 13,000 in three.
-    pub const DEFAULT_CAPACITY: usize = 16;
+    /// Returns the number of peers that a balancer with this link serves.
+    ///
+    /// With 16 on every host, three relays reach 816 balancers in two hops and 13,000 in three; a
+    /// host with a faster link serves more, so that fewer balancers are two hops away.
+    pub fn capacity_for(link: Option<LinkRate>) -> usize {
+        let capacity = link.map_or(0, |rate| rate.get() / MBPS_PER_PEER);
+        usize::try_from(capacity)
+            .unwrap_or(MAX_CAPACITY)
+            .clamp(MIN_CAPACITY, MAX_CAPACITY)
+    }
 
     /// Returns an empty set of leases that serves up to `capacity` peers.
     pub fn new(capacity: usize) -> Self {
--- a/crates/zinniadrift-core/src/steering/sync/peer_selector.rs
+++ b/crates/zinniadrift-core/src/steering/sync/peer_selector.rs
@@ -38,6 +38,8 @@
     Starting {
         /// When the balancer stops waiting for peers and turns to the store.
         until: MonoTime,
+        /// Whether a peer responded that has no state yet itself.
+        is_contacted: bool,
     },
     /// A peer is up to date.
     Peer {
@@ -53,15 +55,19 @@
     Store,
 }
 
-/// The time that a balancer has just started waits for the first response of a peer before it lists
-/// the store itself.
+/// The time for which a balancer that has just started waits for a first response of a peer before
+/// it lists the store itself.
 const START_PATIENCE: Duration = Duration::from_millis(250);
+/// The time for which it waits, from its start, while peers respond that have no state yet: a fleet
+/// that starts at once does not list the store at once, and the store may not have a configuration
+/// yet.
+const CONTACT_PATIENCE: Duration = Duration::from_millis(2_000);
 /// The time for which a balancer whose peer failed looks for another one before it calls the store.
 const SEARCH_PATIENCE: Duration = Duration::from_millis(500);
 /// The time for which a balancer whose peers have lost the store waits for one of them to regain it,
 /// if a relay is not its direct peer. The direct peers of relays call the store first and provide
 /// the others, so that an outage costs calls of few balancers.
-const DEEP_PATIENCE: Duration = Duration::from_millis(1_500);
+const DEEP_PATIENCE: Duration = Duration::from_millis(4_000);
 /// The maximum addition to these, different for each balancer, so that balancers that lose their
 /// peers together do not call the store at the same moment.
 const MAX_STAGGER: Duration = Duration::from_millis(300);
@@ -94,7 +100,10 @@
             Source::Store
         } else {
             let until = now + START_PATIENCE + stagger(offset);
-            Source::Starting { until }
+            Source::Starting {
+                until,
+                is_contacted: false,
+            }
         };
         Self {
             relays,
@@ -119,6 +128,20 @@
         self.referred_to.or_else(|| Some(self.relays[position()?]))
     }
 
+    /// Records that a peer responded which has no state yet.
+    pub fn on_contact(&mut self) {
+        if let Source::Starting {
+            until,
+            is_contacted: false,
+        } = self.source
+        {
+            self.source = Source::Starting {
+                until: until + (CONTACT_PATIENCE - START_PATIENCE),
+                is_contacted: true,
+            };
+        }
+    }
+
     /// Returns the selector of the `n`-th request of a process that has just started.
     ///
     /// These requests go to different relays and overlap, so that a relay that is down does not
@@ -213,7 +236,7 @@
     pub const fn store_need(&self) -> StoreNeed {
         match self.source {
             _ if self.is_relay => StoreNeed::Relay,
-            Source::Starting { until } | Source::Searching { until } => StoreNeed::After(until),
+            Source::Starting { until, .. } | Source::Searching { until } => StoreNeed::After(until),
             Source::Peer { .. } => StoreNeed::None,
             Source::Store => StoreNeed::NoRelay,
         }
--- a/crates/zinniadrift-core/src/steering/sync/watch_loop.rs
+++ b/crates/zinniadrift-core/src/steering/sync/watch_loop.rs
@@ -38,6 +38,8 @@
     responsive: bool,
     failures: u32,
     not_before: MonoTime,
+    /// When the last call failed and how long relays pause after it.
+    pause: Option<(MonoTime, Duration)>,
 }
 
 /// The next call to the store, or the time to wait for it.
@@ -85,6 +87,9 @@
     Unreadable,
 }
 
+/// The factor of the pauses of balancers that are no relays: once the store responds again, their
+/// peers tell them, unless these are lost too.
+const RETRY_FACTOR: u32 = 3;
 /// The number of doublings after which the pause no longer grows.
 const MAX_DOUBLINGS: u32 = 10;
 
@@ -100,6 +105,7 @@
             responsive: false,
             failures: 0,
             not_before: MonoTime::default(),
+            pause: None,
         }
     }
 
@@ -118,8 +124,14 @@
             }
             StoreNeed::After(_) | StoreNeed::Relay | StoreNeed::NoRelay => {}
         }
-        if now < self.not_before {
-            return StoreStep::WaitUntil(self.not_before);
+        let factor = match need {
+            StoreNeed::Relay => 1,
+            _ => RETRY_FACTOR,
+        };
+        let retry_at = self.pause.map(|(failed, pause)| failed + pause * factor);
+        let not_before = retry_at.unwrap_or_default().max(self.not_before);
+        if now < not_before {
+            return StoreStep::WaitUntil(not_before);
         }
         let known = (known != Position::ZERO && !self.must_list).then_some(known);
         match self.position.max(known) {
@@ -140,6 +152,7 @@
     /// Records a list that may be seconds old; a watch without a wait follows at once.
     pub fn on_stale_list(&mut self, now: MonoTime, as_of: Position) {
         self.failures = 0;
+        self.pause = None;
         self.listed = true;
         self.must_list = false;
         self.position = Some(as_of);
@@ -153,6 +166,7 @@
         if !self.must_list {
             self.failures = 0;
         }
+        self.pause = None;
         self.listed = true;
         self.must_list = false;
         self.confirmed = true;
@@ -180,7 +194,7 @@
         let doublings = self.failures.min(MAX_DOUBLINGS);
         let pause = self.cfg.retry_min * (1 << doublings);
         self.failures = self.failures.saturating_add(1);
-        self.not_before = now + pause.min(self.cfg.retry_max);
+        self.pause = Some((now, pause.min(self.cfg.retry_max)));
     }
 
     /// Starts again after a pause of the process: the next call reads all changes since the known
@@ -189,5 +203,6 @@
         self.confirmed = false;
         self.responsive = false;
         self.not_before = now;
+        self.pause = None;
     }
 }
--- a/crates/zinniadrift-runtime/src/steering/daemon.rs
+++ b/crates/zinniadrift-runtime/src/steering/daemon.rs
@@ -66,7 +66,7 @@
     let (ready, ready_rx) = watch::channel(false);
 
     let histograms = EdgeHistograms::new();
-    let fan_out = Arc::new(Mutex::new(FanOut::new(FanOut::DEFAULT_CAPACITY)));
+    let fan_out = Arc::new(Mutex::new(FanOut::new(FanOut::capacity_for(cfg.link))));
     for feed in [Feed::Targets, Feed::Routes] {
         let task = FeedTask {
             adapter: adapter.clone(),
--- a/crates/zinniadrift-runtime/src/steering/edge_metrics.rs
+++ b/crates/zinniadrift-runtime/src/steering/edge_metrics.rs
@@ -219,7 +219,7 @@
     Metric::gauge(
         "peers_answered",
         "peers",
-        "peers that get their news from this balancer; bounded by 16 places",
+        "peers that get their news from this balancer; bounded by 16 to 48 places, by the link",
     ),
     |c| c.peers_answered,
 )];
--- a/crates/zinniadrift-runtime/src/steering/edge_settings.rs
+++ b/crates/zinniadrift-runtime/src/steering/edge_settings.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use zinniadrift_core::steering::{SteeringSettings, WatchSettings};
+use zinniadrift_core::units::LinkRate;
 
 /// The settings of an edge balancer.
 #[derive(Clone, Debug, PartialEq)]
@@ -18,6 +19,8 @@
     pub seeds: Vec<SocketAddr>,
     /// The address on which metrics are served (HTTP); without it, none are served.
     pub metrics: Option<SocketAddr>,
+    /// The rate of the host's link, if it is known.
+    pub link: Option<LinkRate>,
     /// The longest time from the signal to terminate to the end of the process.
     pub stop_within: Duration,
     /// The settings of the steering state machine.
--- a/crates/zinniadrift-runtime/src/steering/http_server.rs
+++ b/crates/zinniadrift-runtime/src/steering/http_server.rs
@@ -29,7 +29,7 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// The maximum number of open connections of a listener. Probes and a metrics collector need a few;
 /// peers need one for each lease and some for peers that are referred elsewhere.
-const MAX_CONNECTIONS: usize = 64;
+const MAX_CONNECTIONS: usize = 128;
 
 /// Serves the readiness endpoint: 200 if the balancer accepts packets, 503 otherwise.
 pub(super) async fn serve_readiness(
--- a/crates/zinniadrift-runtime/src/steering/peer_task.rs
+++ b/crates/zinniadrift-runtime/src/steering/peer_task.rs
@@ -34,9 +34,10 @@
 
 /// The interval between the first requests of a balancer that has just started, each of which goes to
 /// another relay.
-const FIRST_REQUEST_INTERVAL: Duration = Duration::from_millis(100);
+const FIRST_REQUEST_INTERVAL: Duration = Duration::from_millis(120);
 /// The time for which a peer may hold the first request open until it has confirmed its own state.
-const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(1_000);
+/// Its response shows that it runs.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(100);
 /// The maximum number of first requests at a time. More of them would take the places of other
 /// balancers at peers that hold requests open.
 const MAX_FIRST_REQUESTS: usize = 4;
@@ -117,23 +118,32 @@
         let mut attempts = FuturesUnordered::new();
         let mut ticks = tokio::time::interval(FIRST_REQUEST_INTERVAL);
         let mut started = 0;
+        let mut is_contacted = false;
         loop {
             tokio::select! {
                 () = wait_until_known(&mut state) => return,
                 _ = ticks.tick() => {
-                    if attempts.len() < MAX_FIRST_REQUESTS {
+                    // A peer that runs and has no state yet is asked again, not replaced.
+                    let is_due = !is_contacted || attempts.is_empty();
+                    if is_due && attempts.len() < MAX_FIRST_REQUESTS {
                         let selector = selector.for_first_request(started);
                         attempts.push(self.first_request(transport, requester, selector));
                         started += 1;
                     }
                 }
                 Some(attempt) = attempts.next(), if !attempts.is_empty() => match attempt {
-                    Ok((winner, update, pauses)) => {
+                    FirstResponse::Update(winner, update, pauses) => {
                         *selector = winner;
                         self.apply(selector, update, pauses).await;
                         return;
                     }
-                    Err(e) => tracing::debug!(error = %e, "first request to a peer failed"),
+                    FirstResponse::NoState(peer) => {
+                        is_contacted = true;
+                        selector.on_contact();
+                        self.publish_need(selector.store_need());
+                        attempts.push(self.first_request(transport, requester, peer));
+                    }
+                    FirstResponse::Failed => {}
                 }
             }
         }
@@ -145,7 +155,7 @@
         transport: &HttpTransport,
         requester: Option<&PeerInfo>,
         mut selector: PeerSelector,
-    ) -> Result<(PeerSelector, Box<PeerUpdate>, PauseCount), StoreError> {
+    ) -> FirstResponse {
         while let Some(peer) = selector.peer() {
             let state = *self.state.borrow();
             let request = PeerRequest {
@@ -154,16 +164,27 @@
                 requester: requester.cloned(),
             };
             let timeout = FIRST_REQUEST_WAIT + RESPONSE_TIMEOUT;
-            match send_request(transport, peer, &request, timeout).await? {
-                PeerResponse::Update(update) => return Ok((selector, update, state.pauses)),
-                PeerResponse::Refer(peers) => {
+            match send_request(transport, peer, &request, timeout).await {
+                Ok(PeerResponse::Update(update)) => {
+                    return FirstResponse::Update(selector, update, state.pauses);
+                }
+                Ok(PeerResponse::Refer(peers)) => {
                     if !selector.on_referral(self.clock.now(), &peers) {
                         break;
                     }
                 }
+                Err(StoreError::Refused { .. }) => {
+                    // A build that does not hold requests open responds at once.
+                    tokio::time::sleep(URGENT_RETRY_DELAY).await;
+                    return FirstResponse::NoState(selector);
+                }
+                Err(e) => {
+                    tracing::debug!(%peer, error = %e, "first request to a peer failed");
+                    break;
+                }
             }
         }
-        Err(StoreError::unavailable("too many referrals"))
+        FirstResponse::Failed
     }
 
     async fn request_update(
@@ -259,6 +280,16 @@
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
 
+/// The outcome of one of the first requests.
+enum FirstResponse {
+    /// The state of a peer, and the number of pauses before the request.
+    Update(PeerSelector, Box<PeerUpdate>, PauseCount),
+    /// The selected peer runs but has no state yet.
+    NoState(PeerSelector),
+    /// No peer responded.
+    Failed,
+}
+
 async fn send_request(
     transport: &HttpTransport,
     peer: SocketAddr,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -22,6 +22,7 @@
 mod metrics;
 mod overload;
 mod peer_codec;
+mod peer_values;
 mod platform_edits;
 mod platform_history;
 mod processes;
--- a/tests/testsuite/steering/mod.rs
+++ b/tests/testsuite/steering/mod.rs
@@ -10,6 +10,7 @@
 mod liveness;
 mod placement;
 mod relays;
+mod robustness;
 mod store_returns;
 mod watch_loop;
 mod world;
