Contain internal errors, and confirm the first lists before serving

Failures of similar systems, looked for here:

- A panic in the task of a feed, of the peers or of a listener's connection ended just that task without a line, and the balancer went on with knowledge that only aged; a panic on a packet or a message ended the process.
Tasks start again after a second, packets and messages that fail are ignored and counted (inputs_failed).
Test: edge_faults::internal_errors_are_contained; it fails without either part.
- A latency target of the longest possible time, with admission.queueing_share=1.0, stopped the process: steering::robustness::absurd_latency_target_stops_no_balancer.
- A balancer that started without a peer placed flows by lists that may be seconds old.
It now waits up to 80 ms for their confirmation: steering::configuration::first_lists_are_confirmed_before_they_are_used.
With a wait of 300 ms edge_processes::packets_before_the_first_list_are_held failed, because held packets expire after 200 ms. unconfirmed_listing_refuses_no_flow asserted that placing starts at once; it asserts the wait now.

--- a/crates/zinniadrift-core/src/steering/admission/gate.rs
+++ b/crates/zinniadrift-core/src/steering/admission/gate.rs
@@ -166,7 +166,8 @@
         entry.record(now, took);
         let baseline = entry.get(latency_target).as_secs_f32();
         let slack = (target - baseline).max(baseline * MIN_SLACK);
-        let tolerated = Duration::from_secs_f32(baseline + cfg.queueing_share * slack);
+        let tolerated = Duration::try_from_secs_f32(baseline + cfg.queueing_share * slack);
+        let tolerated = tolerated.unwrap_or(Duration::MAX);
         let Some(record) = self.directory.get_mut(index) else {
             return;
         };
--- a/crates/zinniadrift-core/src/steering/mod.rs
+++ b/crates/zinniadrift-core/src/steering/mod.rs
@@ -12,10 +12,11 @@
 //!
 //! ```
 //! use zinniadrift_core::steering::{Steering, SteeringSettings};
+//! use zinniadrift_core::units::MonoTime;
 //!
 //! let cfg = SteeringSettings { zone: "lowell".into(), ..SteeringSettings::default() };
 //! let steering = Steering::new(cfg, 7);
-//! assert!(!steering.can_place());
+//! assert!(!steering.can_place(MonoTime::default()));
 //! ```
 
 mod admission;
--- a/crates/zinniadrift-core/src/steering/state_machine.rs
+++ b/crates/zinniadrift-core/src/steering/state_machine.rs
@@ -47,6 +47,7 @@
     /// The median response time of each service in microseconds.
     pub(super) median_response_us: HashMap<ServiceId, f32>,
     pub(super) next_sweep: MonoTime,
+    pub(super) last_tick: MonoTime,
     pub(super) pauses: PauseCount,
     /// The time of the last response from any target to a flow of this balancer.
     pub(super) last_response: MonoTime,
@@ -55,6 +56,10 @@
     pub(super) decisions: Vec<Decision>,
 }
 
+/// The time for which a balancer that has just started waits for the store or a peer to confirm its
+/// first lists. An answer of the store takes a few milliseconds, and the packets that arrive
+/// meanwhile are held for 200 ms.
+const CONFIRMATION_PATIENCE: Duration = Duration::from_millis(80);
 /// The interval of periodic maintenance.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// The maximum number of decisions kept between two calls of `take_decisions`.
@@ -81,6 +86,7 @@
             unknown_routes: FirstSeen::new(),
             median_response_us: HashMap::new(),
             next_sweep: MonoTime::default(),
+            last_tick: MonoTime::default(),
             pauses: PauseCount::default(),
             last_response: MonoTime::default(),
             probes: Vec::new(),
@@ -140,8 +146,24 @@
     }
 
     /// Returns whether new flows can be placed, which takes known routes and targets.
-    pub fn can_place(&self) -> bool {
-        self.routes_sync.known_since().is_some() && self.directory_sync.known_since().is_some()
+    ///
+    /// The first lists may be seconds old, with targets and routes that have been removed since, so
+    /// their confirmation is awaited for a moment.
+    pub fn can_place(&self, now: MonoTime) -> bool {
+        self.placing_starts_at().is_some_and(|at| now >= at)
+    }
+
+    /// Returns when new flows can be placed; `None` while routes or targets are unknown.
+    fn placing_starts_at(&self) -> Option<MonoTime> {
+        let known = self.routes_sync.known_since()?;
+        let known = known.max(self.directory_sync.known_since()?);
+        let is_confirmed = [&self.routes_sync, &self.directory_sync]
+            .iter()
+            .all(|sync| sync.last_confirmed().is_some());
+        if is_confirmed || self.pauses > PauseCount::default() {
+            return Some(known);
+        }
+        Some(known + CONFIRMATION_PATIENCE)
     }
 
     /// Returns the verdict for one packet.
@@ -159,11 +181,15 @@
     /// Returns when [`Steering::tick`] is due.
     pub fn next_tick(&self) -> MonoTime {
         let check = self.gate.next_check();
-        check.map_or(self.next_sweep, |check| check.min(self.next_sweep))
+        let due = check.map_or(self.next_sweep, |check| check.min(self.next_sweep));
+        let start = self.placing_starts_at();
+        let start = start.filter(|at| *at > self.last_tick);
+        start.map_or(due, |at| at.min(due))
     }
 
     /// Does the periodic maintenance if it is due.
     pub fn tick(&mut self, now: MonoTime) {
+        self.last_tick = now;
         self.check_waiting(now);
         if now < self.next_sweep {
             return;
--- a/crates/zinniadrift-runtime/src/steering/daemon.rs
+++ b/crates/zinniadrift-runtime/src/steering/daemon.rs
@@ -24,6 +24,7 @@
 use super::peer_service::PeerService;
 use super::peer_task::PeerTask;
 use super::reload::ReloadTask;
+use super::supervisor::supervise;
 use super::waiting_packets::WaitingPackets;
 use super::{EdgeConfig, EdgeSettings, Feed, PlatformAdapter};
 use crate::daemon::{BindSnafu, DaemonError, RunClock};
@@ -79,7 +80,8 @@
             histograms: histograms.clone(),
             stop: stop.clone(),
         };
-        tasks.spawn(task.run());
+        let run = move || task.clone().run();
+        tasks.spawn(supervise("feed", stop.clone(), run));
     }
     let peers = PeerTask {
         relays,
@@ -93,7 +95,8 @@
         need: need_tx,
         stop: stop.clone(),
     };
-    tasks.spawn(peers.run());
+    let run = move || peers.clone().run();
+    tasks.spawn(supervise("peers", stop.clone(), run));
     tasks.spawn(serve_readiness(sockets.readiness, ready_rx, stop.clone()));
     if let Some(listener) = sockets.peer {
         let service = PeerService {
--- a/crates/zinniadrift-runtime/src/steering/driver.rs
+++ b/crates/zinniadrift-runtime/src/steering/driver.rs
@@ -19,6 +19,7 @@
 use super::held_datagrams::HeldDatagrams;
 use super::input::{DriverState, Input};
 use super::probe::probe;
+use super::supervisor::contain;
 use super::waiting_packets::WaitingPackets;
 use super::{Feed, FeedResponse, FeedUpdate, PlatformAdapter};
 use crate::daemon::RunClock;
@@ -93,15 +94,19 @@
             match event {
                 Event::Readable(Ok(())) => {
                     last_packet = now;
-                    self.drain_socket(now, &mut buf, &mut out);
+                    let drained = contain("packet", || self.drain_socket(now, &mut buf, &mut out));
+                    self.counters.inputs_failed += u64::from(drained.is_none());
                 }
                 Event::Readable(Err(e)) => {
                     tracing::error!(error = %e, "packet socket failed; stopping");
                     return;
                 }
                 Event::Input(input) => {
-                    self.on_input(input);
-                    self.release_held(&mut out);
+                    let applied = contain("message", || {
+                        self.on_input(input);
+                        self.release_held(&mut out);
+                    });
+                    self.counters.inputs_failed += u64::from(applied.is_none());
                 }
                 Event::Probed(done) => self.on_probe_done(done, &mut out),
                 Event::Leave => {
@@ -112,6 +117,7 @@
                 }
                 Event::Tick => {
                     self.steering.tick(now);
+                    self.release_held(&mut out);
                     self.waiting.retain(|flow| self.steering.is_waiting(flow));
                 }
             }
@@ -169,7 +175,7 @@
     }
 
     fn on_datagram(&mut self, adapter: &A, now: MonoTime, datagram: &[u8], out: &mut Vec<u8>) {
-        if !self.steering.can_place() {
+        if !self.steering.can_place(now) {
             self.held.push(now, datagram);
             return;
         }
@@ -207,11 +213,11 @@
     }
 
     fn release_held(&mut self, out: &mut Vec<u8>) {
-        if !self.steering.can_place() {
+        let now = self.clock.now();
+        if !self.steering.can_place(now) {
             return;
         }
         let adapter = Arc::clone(&self.adapter.borrow());
-        let now = self.clock.now();
         while let Some(datagram) = self.held.pop(now) {
             self.on_datagram(&*adapter, now, &datagram, out);
         }
@@ -352,7 +358,7 @@
     }
 
     fn update_readiness(&self) {
-        let ready = self.steering.can_place();
+        let ready = self.steering.can_place(self.clock.now());
         let changed = self
             .ready
             .send_if_modified(|r| std::mem::replace(r, ready) != ready);
--- a/crates/zinniadrift-runtime/src/steering/edge_metrics.rs
+++ b/crates/zinniadrift-runtime/src/steering/edge_metrics.rs
@@ -156,7 +156,7 @@
     ),
 ];
 
-pub(crate) const DRIVER_COUNTERS: [DriverCounter; 7] = [
+pub(crate) const DRIVER_COUNTERS: [DriverCounter; 8] = [
     (
         Metric::counter(
             "datagrams_received",
@@ -205,6 +205,14 @@
         ),
         |c| c.pauses,
     ),
+    (
+        Metric::counter(
+            "inputs_failed",
+            "inputs",
+            "packets and messages ignored because of an internal error",
+        ),
+        |c| c.inputs_failed,
+    ),
     (
         Metric::counter(
             "log_lines_suppressed",
@@ -227,7 +235,7 @@
 pub(crate) const STATE_GAUGES: [StateGauge; 11] = [
     (
         Metric::gauge("ready", "0 or 1", "whether routes and targets are known"),
-        |s, _| i64::from(s.can_place()),
+        |s, now| i64::from(s.can_place(now)),
     ),
     (
         Metric::gauge(
--- a/crates/zinniadrift-runtime/src/steering/feed_task.rs
+++ b/crates/zinniadrift-runtime/src/steering/feed_task.rs
@@ -27,6 +27,22 @@
     pub(super) stop: CancellationToken,
 }
 
+impl<A> Clone for FeedTask<A> {
+    fn clone(&self) -> Self {
+        Self {
+            adapter: self.adapter.clone(),
+            feed: self.feed,
+            cfg: self.cfg.clone(),
+            clock: self.clock,
+            inputs: self.inputs.clone(),
+            state: self.state.clone(),
+            need: self.need.clone(),
+            histograms: self.histograms.clone(),
+            stop: self.stop.clone(),
+        }
+    }
+}
+
 impl<A: PlatformAdapter> FeedTask<A> {
     /// Keeps the feed up to date until the process stops.
     pub(super) async fn run(mut self) {
--- a/crates/zinniadrift-runtime/src/steering/http_server.rs
+++ b/crates/zinniadrift-runtime/src/steering/http_server.rs
@@ -89,7 +89,12 @@
     loop {
         let accepted = tokio::select! {
             () = stop.cancelled() => break,
-            Some(_) = connections.join_next() => continue,
+            Some(ended) = connections.join_next() => {
+                if let Err(e) = ended {
+                    tracing::error!(error = %e, "connection failed");
+                }
+                continue;
+            }
             accepted = listener.accept(), if connections.len() < MAX_CONNECTIONS => accepted,
         };
         let stream = match accepted {
--- a/crates/zinniadrift-runtime/src/steering/peer_task.rs
+++ b/crates/zinniadrift-runtime/src/steering/peer_task.rs
@@ -43,6 +43,7 @@
 const MAX_FIRST_REQUESTS: usize = 4;
 
 /// A task that requests updates from relays or from the peers that they refer to.
+#[derive(Clone)]
 pub(super) struct PeerTask {
     /// The addresses of all relays; this balancer's own address is skipped.
     pub(super) relays: watch::Receiver<Vec<SocketAddr>>,
--- a/crates/zinniadrift-runtime/src/steering/reload.rs
+++ b/crates/zinniadrift-runtime/src/steering/reload.rs
@@ -1,11 +1,14 @@
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::FutureExt;
 use tokio::signal::unix::Signal;
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
 use super::input::Input;
+use super::supervisor::panic_message;
 use super::{EdgeSettings, PlatformAdapter};
 use crate::daemon::DaemonError;
 
@@ -48,7 +51,13 @@
                 Some(()) = self.hangup.recv() => true,
                 _ = ticks.tick() => false,
             };
-            self.reload(by_signal).await;
+            let reload = AssertUnwindSafe(self.reload(by_signal))
+                .catch_unwind()
+                .await;
+            if let Err(panic) = reload {
+                let cause = panic_message(&*panic);
+                tracing::error!(cause, "settings not read again; the old ones stay in force");
+            }
         }
     }
 
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod decoders;
 mod docs;
 mod edge_decoders;
+mod edge_faults;
 mod edge_processes;
 mod edge_soak;
 mod edge_store;
