--- a/crates/zinniadrift-core/src/steering/directory/target_directory.rs
+++ b/crates/zinniadrift-core/src/steering/directory/target_directory.rs
@@ -10,7 +10,7 @@
 use crate::steering::directory::change_log::{ChangeLog, Coverage};
 use crate::steering::directory::cookie::TargetTag;
 use crate::steering::targets::target_record::{Presence, TargetRecord};
-use crate::steering::{DirectoryListing, InstanceState, Position, TargetInstance};
+use crate::steering::{DirectoryListing, Position, TargetInstance};
 
 /// A change of the store's list of targets.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -21,6 +21,16 @@
     Removed(Box<str>),
 }
 
+/// When and with what doubts a list or changes were received.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Received<'a> {
+    pub(crate) now: MonoTime,
+    /// When the store had no other changes; `None` if the state may be seconds old.
+    pub(crate) confirmed: Option<MonoTime>,
+    /// The targets that the peer which sent them doubts.
+    pub(crate) doubtful: &'a [Box<str>],
+}
+
 /// The identifier of a target in the directory.
 ///
 /// Targets that became known later have higher values.
@@ -53,25 +63,23 @@
     }
 
     /// Returns all listed targets, for peers that need a full list.
-    ///
-    /// Doubtful targets are given as draining, so that a peer that has never known them sends them
-    /// no new flow either.
     pub fn listing(&self) -> DirectoryListing {
         let listed = self.records.values();
         let listed = listed.filter(|r| r.presence.is_listed());
-        let targets = listed.map(|r| TargetInstance {
-            state: match r.presence {
-                Presence::Doubtful { .. } => InstanceState::Draining,
-                _ => r.instance.state,
-            },
-            ..r.instance.clone()
-        });
         DirectoryListing {
             as_of: self.as_of,
-            targets: targets.collect(),
+            targets: listed.map(|r| r.instance.clone()).collect(),
         }
     }
 
+    /// Returns the names of the doubtful targets, so that a peer that has never known them sends
+    /// them no new flow either.
+    pub(crate) fn doubtful_names(&self) -> Vec<Box<str>> {
+        let doubtful = |r: &&TargetRecord| matches!(r.presence, Presence::Doubtful { .. });
+        let doubtful = self.records.values().filter(doubtful);
+        doubtful.map(|r| r.instance.name.clone()).collect()
+    }
+
     /// Returns the number of doubtful targets.
     pub fn doubtful_count(&self) -> usize {
         let doubtful = |r: &&TargetRecord| matches!(r.presence, Presence::Doubtful { .. });
@@ -106,7 +114,7 @@
     pub(crate) fn apply_listing(
         &mut self,
         listing: DirectoryListing,
-        now: MonoTime,
+        received: Received<'_>,
     ) -> Option<Vec<TargetChange>> {
         if listing.as_of < self.as_of {
             return None;
@@ -118,7 +126,7 @@
         let removed = missing.map(TargetChange::Removed);
         let put = listing.targets.into_iter().map(TargetChange::Put);
         let changes = removed.chain(put).collect();
-        Some(self.apply_changes(changes, Coverage::NetChange, listing.as_of, now))
+        Some(self.apply_changes(changes, Coverage::NetChange, listing.as_of, received))
     }
 
     fn missing_from(&self, listing: &DirectoryListing) -> Vec<Box<str>> {
@@ -136,7 +144,7 @@
         changes: Vec<TargetChange>,
         coverage: Coverage,
         as_of: Position,
-        now: MonoTime,
+        received: Received<'_>,
     ) -> Vec<TargetChange> {
         if as_of < self.as_of {
             return Vec::new();
@@ -147,7 +155,7 @@
         // A store that came back from an older copy repeats what is known to be outdated.
         let is_copy = as_of.era > self.as_of.era && !self.records.is_empty();
         self.as_of = as_of;
-        let mut effective = self.trust_survivors(as_of, now);
+        let mut effective = self.trust_survivors(as_of, received.confirmed);
         for change in changes {
             let is_effective = self.is_effective(&change);
             // A peer at a revision in between may be missing a change that has no effect here.
@@ -160,8 +168,11 @@
             self.last_change = as_of;
             effective.push(change.clone());
             match change {
-                TargetChange::Put(instance) => self.put(instance, is_copy, now),
-                TargetChange::Removed(name) => self.remove(&name, now),
+                TargetChange::Put(instance) => {
+                    let is_doubtful = received.doubtful.contains(&instance.name);
+                    self.put(instance, is_copy, is_doubtful, received.now);
+                }
+                TargetChange::Removed(name) => self.remove(&name, received.now),
             }
         }
         effective
@@ -181,12 +192,23 @@
         }
     }
 
-    /// Accepts the doubtful targets that are still listed after the time in which the store removes
-    /// the entry of a target that does not write, and returns them as changes.
-    fn trust_survivors(&mut self, as_of: Position, now: MonoTime) -> Vec<TargetChange> {
+    /// Accepts the doubtful targets that the state confirmed at `confirmed` still lists after the
+    /// time in which the store removes the entry of a target that does not write, and returns them
+    /// as changes.
+    fn trust_survivors(
+        &mut self,
+        as_of: Position,
+        confirmed: Option<MonoTime>,
+    ) -> Vec<TargetChange> {
+        let Some(confirmed) = confirmed else {
+            return Vec::new();
+        };
         let mut trusted = Vec::new();
         for record in self.records.values_mut() {
-            if matches!(record.presence, Presence::Doubtful { since } if now >= since + DOUBT) {
+            let Presence::Doubtful { since } = record.presence else {
+                continue;
+            };
+            if confirmed >= since + DOUBT {
                 record.presence = Presence::Listed;
                 trusted.push(TargetChange::Put(record.instance.clone()));
             }
@@ -198,17 +220,21 @@
         trusted
     }
 
-    /// `is_copy` tells whether the entry may be older than what is known.
-    fn put(&mut self, instance: TargetInstance, is_copy: bool, now: MonoTime) {
+    /// `is_copy` tells whether the entry may be older than what is known, `is_doubtful` whether the
+    /// peer that sent it doubts it.
+    fn put(&mut self, instance: TargetInstance, is_copy: bool, is_doubtful: bool, now: MonoTime) {
         let Some(&index) = self.by_name.get(&instance.name) else {
-            self.insert(instance, now);
+            let index = self.insert(instance, now);
+            if let Some(record) = self.records.get_mut(&index).filter(|_| is_doubtful) {
+                record.presence = Presence::Doubtful { since: now };
+            }
             return;
         };
         let Some(record) = self.records.get_mut(&index) else {
             return;
         };
         let before = record.instance.service;
-        if is_copy {
+        if is_copy || is_doubtful {
             record.update_from_copy(instance, now);
         } else {
             record.update(instance, now);
@@ -220,7 +246,7 @@
         }
     }
 
-    fn insert(&mut self, instance: TargetInstance, now: MonoTime) {
+    fn insert(&mut self, instance: TargetInstance, now: MonoTime) -> TargetIndex {
         let index = TargetIndex(self.next_index);
         self.next_index = self.next_index.wrapping_add(1);
         let record = TargetRecord::new(instance, now);
@@ -230,6 +256,7 @@
         let service = self.by_service.entry(instance.service).or_default();
         service.push(index);
         self.records.insert(index, record);
+        index
     }
 
     fn remove(&mut self, name: &str, now: MonoTime) {
--- a/crates/zinniadrift-core/src/steering/sync/peer_update.rs
+++ b/crates/zinniadrift-core/src/steering/sync/peer_update.rs
@@ -31,6 +31,10 @@
     pub routes_age: Duration,
     /// The part of the directory that the requesting balancer is missing.
     pub targets: DirectoryUpdate,
+    /// The names of the targets that get no new flow because only an older copy of the store lists
+    /// them.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub doubtful: Vec<Box<str>>,
     /// The part of the configuration that the requesting balancer is missing.
     pub routes: Option<RouteDelta>,
 }
--- a/crates/zinniadrift-core/src/steering/sync/updates.rs
+++ b/crates/zinniadrift-core/src/steering/sync/updates.rs
@@ -3,6 +3,7 @@
 use crate::units::{MonoTime, Version};
 
 use crate::steering::directory::change_log::Coverage;
+use crate::steering::directory::target_directory::Received;
 use crate::steering::{
     Decision, DirectoryListing, DirectoryUpdate, InstanceState, KnownState, PauseCount, PeerUpdate,
     Position, RouteTable, Steering, TargetChange,
@@ -19,8 +20,18 @@
         confirmed: Option<MonoTime>,
         listing: DirectoryListing,
     ) {
+        let received = Received {
+            now,
+            confirmed,
+            doubtful: &[],
+        };
+        self.apply_listing(received, listing);
+    }
+
+    fn apply_listing(&mut self, received: Received<'_>, listing: DirectoryListing) {
+        let Received { now, confirmed, .. } = received;
         let as_of = listing.as_of;
-        let Some(changes) = self.directory.apply_listing(listing, now) else {
+        let Some(changes) = self.directory.apply_listing(listing, received) else {
             return;
         };
         self.observe_era(now, as_of);
@@ -40,13 +51,17 @@
         changes: Vec<TargetChange>,
         as_of: Position,
     ) {
-        self.apply_changes(now, confirmed, changes, Coverage::All, as_of);
+        let received = Received {
+            now,
+            confirmed,
+            doubtful: &[],
+        };
+        self.apply_changes(received, changes, Coverage::All, as_of);
     }
 
     fn apply_changes(
         &mut self,
-        now: MonoTime,
-        confirmed: Option<MonoTime>,
+        received: Received<'_>,
         changes: Vec<TargetChange>,
         coverage: Coverage,
         as_of: Position,
@@ -54,7 +69,10 @@
         if as_of < self.directory.as_of() {
             return;
         }
-        let changes = self.directory.apply_changes(changes, coverage, as_of, now);
+        let Received { now, confirmed, .. } = received;
+        let changes = self
+            .directory
+            .apply_changes(changes, coverage, as_of, received);
         self.observe_era(now, as_of);
         if let Some(at) = confirmed {
             self.directory_sync.confirm(at);
@@ -80,22 +98,20 @@
         if pauses != self.pauses {
             return;
         }
-        let directory_at = now - update.directory_age;
+        let received = Received {
+            now,
+            confirmed: Some(now - update.directory_age),
+            doubtful: &update.doubtful,
+        };
         match update.targets {
-            DirectoryUpdate::Listing(listing) => self.on_listing(now, Some(directory_at), listing),
+            DirectoryUpdate::Listing(listing) => self.apply_listing(received, listing),
             // The store may have sent newer changes meanwhile, which the peer's response does not
             // include.
             DirectoryUpdate::Changes(_) if update.base.targets != self.directory.as_of() => {}
             DirectoryUpdate::Changes(changes) => {
                 // The peer may know only the net change between two revisions.
                 let coverage = Coverage::NetChange;
-                self.apply_changes(
-                    now,
-                    Some(directory_at),
-                    changes,
-                    coverage,
-                    update.known.targets,
-                );
+                self.apply_changes(received, changes, coverage, update.known.targets);
             }
         }
         let routes_at = now - update.routes_age;
@@ -135,6 +151,7 @@
             directory_age,
             routes_age,
             targets,
+            doubtful: self.directory.doubtful_names(),
             routes: self.route_history.delta(known.version),
         })
     }
--- a/crates/zinniadrift-proto/src/peer_update.rs
+++ b/crates/zinniadrift-proto/src/peer_update.rs
@@ -30,6 +30,7 @@
             changes: changes.collect(),
             zones: zones.into_names(),
             routes: update.routes.map(Into::into),
+            doubtful: update.doubtful.into_iter().map(Into::into).collect(),
         }
     }
 }
@@ -61,6 +62,7 @@
             directory_age: Duration::from_nanos(update.directory_age),
             routes_age: Duration::from_nanos(update.routes_age),
             targets,
+            doubtful: update.doubtful.into_iter().map(Into::into).collect(),
             routes: routes.transpose()?,
         })
     }
--- a/tests/testsuite/peer_codec.rs
+++ b/tests/testsuite/peer_codec.rs
@@ -124,6 +124,7 @@
         directory_age: Duration::ZERO,
         routes_age: Duration::ZERO,
         targets: DirectoryUpdate::Listing(listing),
+        doubtful: Vec::new(),
         routes: None,
     };
     let bytes = v1::PeerUpdate::from(update).encode_to_vec().len();
--- a/tests/testsuite/peer_values.rs
+++ b/tests/testsuite/peer_values.rs
@@ -123,27 +123,23 @@
             DirectoryUpdate::Listing(DirectoryListing { as_of, targets })
         }),
     ];
+    let doubtful = prop::collection::vec("[a-z0-9-]{1,14}", 0..3);
+    let rest = (doubtful, prop::option::of(delta()));
     let ages = (duration(), duration());
-    (
-        known_state(),
-        known_state(),
-        ages,
-        targets,
-        prop::option::of(delta()),
+    (known_state(), known_state(), ages, targets, rest).prop_map(
+        |(base, known, (directory_age, routes_age), mut targets, (doubtful, routes))| {
+            if let DirectoryUpdate::Listing(listing) = &mut targets {
+                listing.as_of = known.targets;
+            }
+            PeerUpdate {
+                base,
+                known,
+                directory_age,
+                routes_age,
+                targets,
+                doubtful: doubtful.into_iter().map(Into::into).collect(),
+                routes,
+            }
+        },
     )
-        .prop_map(
-            |(base, known, (directory_age, routes_age), mut targets, routes)| {
-                if let DirectoryUpdate::Listing(listing) = &mut targets {
-                    listing.as_of = known.targets;
-                }
-                PeerUpdate {
-                    base,
-                    known,
-                    directory_age,
-                    routes_age,
-                    targets,
-                    routes,
-                }
-            },
-        )
 }
--- a/tests/testsuite/steering/store_returns.rs
+++ b/tests/testsuite/steering/store_returns.rs
@@ -113,9 +113,8 @@
     let mut newcomer = World::empty(2);
     newcomer.now = w.now;
     newcomer.configure(1, standard_routes());
-    newcomer
-        .core
-        .on_listing(w.now, Some(w.now), w.core.directory().listing());
+    let update = w.core.update_for(w.now, newcomer.core.known_state());
+    newcomer.apply_peer_update(update.unwrap());
     assert_eq!(
         chosen(&mut newcomer, 1..40),
         [target(1).address.to_string()]
@@ -127,6 +126,24 @@
     assert_eq!(w.core.directory().listed_count(), 1);
 }
 
+/// Guards against trust in a removed target on the ground of a peer's state from before its entry
+/// could be removed again.
+#[test]
+fn old_confirmation_ends_no_doubt() {
+    let mut w = World::new(1, vec![target(1), target(2)]);
+    w.remove(2);
+    w.advance(1_000);
+    come_back(&mut w, 1, vec![target(1), target(2)]);
+    let read_at = w.now;
+    w.advance_clock(6_000);
+    w.core
+        .on_changes(w.now, Some(read_at), Vec::new(), returned(2));
+    assert_eq!(w.core.directory().doubtful_count(), 1);
+    w.core
+        .on_changes(w.now, Some(w.now), Vec::new(), returned(3));
+    assert_eq!(w.core.directory().doubtful_count(), 0);
+}
+
 /// Guards against a living target that gets no new flow for good because its removal was lost and
 /// its entry did not change since.
 #[test]
