Keep a target's latest instance when an older copy has an earlier one

Found by steering::store_model at five steps: [target ends, starts again, relay reads, store comes back, relay reads] made the relay use the instance that had ended. Test: store_returns::earlier_instance_of_the_copy_is_not_used.

--- a/crates/zinniadrift-core/src/steering/targets/target_record.rs
+++ b/crates/zinniadrift-core/src/steering/targets/target_record.rs
@@ -121,17 +121,19 @@
     }
 
     /// Applies an entry of an older copy of the store, from before what is already known of this
-    /// instance.
+    /// target.
     pub(crate) fn update_from_copy(&mut self, instance: TargetInstance, now: MonoTime) {
-        if self.instance.started_at_ms != instance.started_at_ms {
+        if instance.started_at_ms > self.instance.started_at_ms {
             self.update(instance, now);
             return;
         }
         if !self.presence.is_listed() {
             self.presence = Presence::Doubtful { since: now };
         }
-        // An instance that began to drain never takes new flows again.
-        if self.instance.state != InstanceState::Draining {
+        // The copy may hold an earlier instance, and one that began to drain never takes new flows
+        // again.
+        let is_same = instance.started_at_ms == self.instance.started_at_ms;
+        if is_same && self.instance.state != InstanceState::Draining {
             self.instance = instance;
         }
     }
--- a/tests/testsuite/steering/store_returns.rs
+++ b/tests/testsuite/steering/store_returns.rs
@@ -182,6 +182,21 @@
     assert_eq!(chosen(&mut w, 40..100).len(), 2);
 }
 
+/// Guards against new flows to an earlier instance that only the copy has: its target had started
+/// again in the lost seconds (found by `store_model` at five steps).
+#[test]
+fn earlier_instance_of_the_copy_is_not_used() {
+    let run = |started: u64, slots: u16| TargetInstance {
+        started_at_ms: Some(started),
+        slots,
+        ..target(1)
+    };
+    let mut w = World::new(1, vec![run(5, 2)]);
+    w.put(run(9, 4));
+    come_back(&mut w, 1, vec![run(5, 2)]);
+    assert_eq!(w.core.directory().listing().targets, [run(9, 4)]);
+}
+
 fn come_back_again(w: &mut World, targets: Vec<TargetInstance>) {
     let as_of = Position::new(2.into(), 1.into());
     let listing = DirectoryListing { as_of, targets };
