Drop held packets of a flow whose caller has opened a new one

Cause, by reading: packets of a waiting request were dropped at the next check only, up to half a second after the caller had opened a new flow from the same port. If a request of that flow waited by then, the old packets went on too, with the old cookie, to a target that answers into the new flow. Test: steering::admission::request_of_an_earlier_flow_does_not_go_on.

--- a/crates/zinniadrift-core/src/steering/admission/gate.rs
+++ b/crates/zinniadrift-core/src/steering/admission/gate.rs
@@ -18,6 +18,8 @@
     baselines: HashMap<SocketAddrV4, ResponseBaseline>,
     /// The flows whose requests go on now.
     admitted: Vec<FlowKey>,
+    /// The flows whose held packets belong to an earlier flow with the same addresses.
+    superseded: Vec<FlowKey>,
     next_check: MonoTime,
     /// Whether no further request may wait.
     is_closed: bool,
@@ -71,6 +73,12 @@
         std::mem::take(&mut self.gate.admitted)
     }
 
+    /// Takes the flows whose held packets must not be forwarded, because their caller has opened a
+    /// new flow with the same addresses.
+    pub fn take_superseded(&mut self) -> Vec<FlowKey> {
+        std::mem::take(&mut self.gate.superseded)
+    }
+
     /// Returns whether a request of the flow waits in the balancer.
     pub fn is_waiting(&self, flow: &FlowKey) -> bool {
         self.flows.is_waiting(flow)
@@ -124,6 +132,15 @@
         }
     }
 
+    /// Gives up the waiting request of an earlier flow with the same addresses: its target would
+    /// answer into the new flow.
+    pub(in crate::steering) fn supersede(&mut self, flow: &FlowKey) {
+        if self.flows.is_waiting(flow) {
+            self.gate.superseded.push(*flow);
+            self.counters.requests_abandoned += 1;
+        }
+    }
+
     /// Lets the request of a flow go on at once, if it waits.
     pub(in crate::steering) fn admit_now(&mut self, now: MonoTime, flow: &FlowKey) {
         if self.flows.admit(&mut self.directory, now, flow) {
--- a/crates/zinniadrift-core/src/steering/placement/placing.rs
+++ b/crates/zinniadrift-core/src/steering/placement/placing.rs
@@ -35,6 +35,7 @@
         seg: &Segment,
         retransmissions: u32,
     ) -> Verdict {
+        self.supersede(&seg.flow);
         let routes = Arc::clone(&self.routes);
         let Some(route) = routes.get(seg.flow.service) else {
             return self.handle_missing_route(now, seg);
--- a/crates/zinniadrift-runtime/src/steering/driver.rs
+++ b/crates/zinniadrift-runtime/src/steering/driver.rs
@@ -183,7 +183,11 @@
             self.counters.malformed += 1;
             return;
         };
-        match self.steering.on_segment(now, &seg) {
+        let verdict = self.steering.on_segment(now, &seg);
+        for flow in self.steering.take_superseded() {
+            self.waiting.discard(&flow);
+        }
+        match verdict {
             Verdict::Forward {
                 to,
                 instance_id,
--- a/crates/zinniadrift-runtime/src/steering/waiting_packets.rs
+++ b/crates/zinniadrift-runtime/src/steering/waiting_packets.rs
@@ -53,6 +53,12 @@
         packets.into_iter().map(|p| p.datagram)
     }
 
+    /// Drops the packets of a flow.
+    pub(super) fn discard(&mut self, flow: &FlowKey) {
+        let packets = self.flows.remove(flow).unwrap_or_default();
+        self.packets -= packets.len();
+    }
+
     /// Drops the packets of flows for which `is_waiting` returns false.
     pub(super) fn retain(&mut self, is_waiting: impl Fn(&FlowKey) -> bool) {
         if self.packets > 0 {
--- a/tests/testsuite/steering/admission.rs
+++ b/tests/testsuite/steering/admission.rs
@@ -363,3 +363,22 @@
     }
     assert_eq!(callers.w.core.waiting_requests(), 256);
 }
+
+/// Guards against an answer that is not the caller's own: a request waited while its caller gave up
+/// and opened a new flow from the same port, and went on to its target into the new flow.
+#[test]
+fn request_of_an_earlier_flow_does_not_go_on() {
+    let mut callers = Callers::congested(20);
+    let sent = callers.fill(0..20);
+    let waiting = u16::try_from(sent.len()).unwrap();
+    let key = flow(waiting, STREAM);
+    assert!(callers.w.core.is_waiting(&key));
+    assert_eq!(callers.w.core.take_superseded(), []);
+    let _ = callers.w.open(waiting, STREAM, 0);
+    assert_eq!(callers.w.core.take_superseded(), [key]);
+    for port in sent {
+        callers.respond(port);
+    }
+    assert!(!callers.w.core.take_admitted().contains(&key));
+    assert!(!callers.w.core.is_waiting(&key));
+}
