--- a/crates/zinniadrift-core/src/steering/mod.rs
+++ b/crates/zinniadrift-core/src/steering/mod.rs
@@ -56,7 +56,7 @@
 pub use sync::position::{Position, PositionError};
 pub use sync::revision::Revision;
 pub use sync::sync_status::SyncStatus;
-pub use sync::watch_loop::{StoreCallError, StoreNeed, StoreStep, WatchLoop};
+pub use sync::watch_loop::{ListExtent, StoreCallError, StoreNeed, StoreStep, WatchLoop};
 pub use sync::watch_settings::WatchSettings;
 pub use targets::liveness::ProbeResult;
 pub use targets::probing::{FlowReset, ProbeRequest};
--- a/crates/zinniadrift-core/src/steering/sync/watch_loop.rs
+++ b/crates/zinniadrift-core/src/steering/sync/watch_loop.rs
@@ -30,6 +30,8 @@
     listed: bool,
     /// Whether the history after the known position is gone, so that only a list helps.
     must_list: bool,
+    /// Whether the first page was asked for while peers were being asked.
+    tried_first_page: bool,
     /// Whether a response was current, so that refusals may be based on it.
     confirmed: bool,
     /// Whether the last call succeeded and nothing has intervened, so that the next call may wait
@@ -54,6 +56,8 @@
         /// Whether a response that is seconds old is enough, because the changes since then are
         /// read next.
         stale: bool,
+        /// How much may be read.
+        extent: ListExtent,
     },
     /// Wait for changes after `from`.
     Watch {
@@ -85,6 +89,17 @@
     NoAnswer,
     /// The response could not be decoded.
     Unreadable,
+    /// The list has more than the page that was asked for.
+    MorePages,
+}
+
+/// How much of a list is read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ListExtent {
+    /// Everything.
+    All,
+    /// The first page, if there is no other.
+    FirstPage,
 }
 
 /// The factor of the pauses of balancers that are no relays: once the store responds again, their
@@ -101,6 +116,7 @@
             position: None,
             listed: false,
             must_list: false,
+            tried_first_page: false,
             confirmed: false,
             responsive: false,
             failures: 0,
@@ -118,6 +134,14 @@
                 self.responsive = false;
                 return StoreStep::Idle;
             }
+            // A short list is read faster than peers can be found; a long one is left to them.
+            StoreNeed::After(_) if !self.tried_first_page && known == Position::ZERO => {
+                self.tried_first_page = true;
+                return StoreStep::List {
+                    stale: true,
+                    extent: ListExtent::FirstPage,
+                };
+            }
             StoreNeed::After(at) if now < at => {
                 self.responsive = false;
                 return StoreStep::WaitUntil(at);
@@ -137,6 +161,7 @@
         match self.position.max(known) {
             None => StoreStep::List {
                 stale: !self.listed,
+                extent: ListExtent::All,
             },
             Some(from) => StoreStep::Watch {
                 from,
@@ -182,6 +207,9 @@
     /// Records a failed call.
     pub fn on_failure(&mut self, now: MonoTime, error: StoreCallError) {
         self.responsive = false;
+        if error == StoreCallError::MorePages {
+            return;
+        }
         if matches!(error, StoreCallError::Compacted | StoreCallError::Returned) {
             self.position = None;
             self.must_list = true;
--- a/crates/zinniadrift-runtime/src/steering/feed_task.rs
+++ b/crates/zinniadrift-runtime/src/steering/feed_task.rs
@@ -111,6 +111,9 @@
                     .await
                     .unwrap_or_default();
             }
+            Err(StoreCallError::MorePages) => {
+                watch_loop.on_failure(now, StoreCallError::MorePages);
+            }
             Err(error) => {
                 watch_loop.on_failure(now, error);
                 if !std::mem::replace(failing, true) {
@@ -142,7 +145,7 @@
             tokio::time::sleep_until(clock.instant(until)).await;
             None
         }
-        StoreStep::List { stale } => Some(adapter.list(feed, stale).await),
+        StoreStep::List { stale, extent } => Some(adapter.list(feed, stale, extent).await),
         StoreStep::Watch { from, wait } => Some(adapter.watch(feed, from, wait).await),
     }
 }
--- a/crates/zinniadrift-runtime/src/steering/platform_adapter.rs
+++ b/crates/zinniadrift-runtime/src/steering/platform_adapter.rs
@@ -5,8 +5,8 @@
 
 use zinniadrift_core::flow::FlowKey;
 use zinniadrift_core::steering::{
-    Cookie, DirectoryListing, InstanceId, Position, RouteTable, Segment, StoreCallError,
-    TargetChange,
+    Cookie, DirectoryListing, InstanceId, ListExtent, Position, RouteTable, Segment,
+    StoreCallError, TargetChange,
 };
 
 /// An adapter that translates between the core's types and the formats of a platform.
@@ -28,11 +28,12 @@
     /// Encodes a reset of a flow into `out` and returns the address to send it to.
     fn encode_reset(&self, flow: FlowKey, seq: u32, out: &mut Vec<u8>) -> SocketAddr;
 
-    /// Lists all objects of a feed; with `stale`, the response may be seconds old.
+    /// Lists the objects of a feed; with `stale`, the response may be seconds old.
     fn list(
         &self,
         feed: Feed,
         stale: bool,
+        extent: ListExtent,
     ) -> impl Future<Output = Result<FeedResponse, StoreCallError>> + Send;
 
     /// Watches a feed: waits up to `wait` for changes after the revision `from`.
--- a/tests/testsuite/edge_faults.rs
+++ b/tests/testsuite/edge_faults.rs
@@ -13,8 +13,8 @@
 
 use zinniadrift_core::flow::FlowKey;
 use zinniadrift_core::steering::{
-    Cookie, DirectoryListing, InstanceId, Position, RouteTable, Segment, SteeringSettings,
-    StoreCallError, WatchSettings,
+    Cookie, DirectoryListing, InstanceId, ListExtent, Position, RouteTable, Segment,
+    SteeringSettings, StoreCallError, WatchSettings,
 };
 use zinniadrift_runtime::daemon::DaemonError;
 use zinniadrift_runtime::steering::{
@@ -47,7 +47,12 @@
         flow.caller.into()
     }
 
-    async fn list(&self, feed: Feed, stale: bool) -> Result<FeedResponse, StoreCallError> {
+    async fn list(
+        &self,
+        feed: Feed,
+        stale: bool,
+        _: ListExtent,
+    ) -> Result<FeedResponse, StoreCallError> {
         let n = self.lists.fetch_add(1, Ordering::Relaxed);
         assert!(n >= 2, "internal error in the store client");
         let as_of = Position::from(1);
--- a/tests/testsuite/edge_store.rs
+++ b/tests/testsuite/edge_store.rs
@@ -6,6 +6,7 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+use zinniadrift_core::steering::{ListExtent, StoreCallError};
 use zinniadrift_edge::StoreClient;
 use zinniadrift_runtime::steering::{Feed, FeedUpdate};
 use zinniadrift_stand_ins::Store;
@@ -46,11 +47,17 @@
             store.put("servers", &format!("j-{n:08x}"), &server(n));
         }
         let (address, stop) = serve(&store).await;
-        let answer = StoreClient::new(address).list(Feed::Targets, false).await;
+        let answer = StoreClient::new(address)
+            .list(Feed::Targets, false, ListExtent::All)
+            .await;
         let Some(FeedUpdate::Listing(listing)) = answer.unwrap().update else {
             panic!("no listing");
         };
         assert_eq!(listing.targets.len(), 149, "{unusual}");
+        let first = StoreClient::new(address)
+            .list(Feed::Targets, true, ListExtent::FirstPage)
+            .await;
+        assert_eq!(first.unwrap_err(), StoreCallError::MorePages);
         stop.cancel();
     }
 }
--- a/tests/testsuite/steering/store_returns.rs
+++ b/tests/testsuite/steering/store_returns.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use zinniadrift_core::steering::{
-    Decision, DirectoryListing, Era, InstanceState, Position, ResetReason, RouteKind,
+    Decision, DirectoryListing, Era, InstanceState, ListExtent, Position, ResetReason, RouteKind,
     StoreCallError, StoreNeed, StoreStep, TargetChange, TargetInstance, Verdict, WatchLoop,
     WatchSettings,
 };
@@ -277,7 +277,13 @@
     let mut watch = watching(70);
     watch.on_failure(now, StoreCallError::Returned);
     let step = watch.next_step(now, StoreNeed::Relay, 71.into());
-    assert_eq!(step, StoreStep::List { stale: false });
+    assert_eq!(
+        step,
+        StoreStep::List {
+            stale: false,
+            extent: ListExtent::All
+        }
+    );
     watch.on_response(now, returned(40), true);
     let later = now + Duration::from_secs(1);
     let step = watch.next_step(later, StoreNeed::Relay, 71.into());
--- a/tests/testsuite/steering/watch_loop.rs
+++ b/tests/testsuite/steering/watch_loop.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use zinniadrift_core::steering::{
-    PeerSelector, Position, StoreCallError, StoreNeed, StoreStep, WatchLoop, WatchSettings,
+    ListExtent, PeerSelector, Position, StoreCallError, StoreNeed, StoreStep, WatchLoop,
+    WatchSettings,
 };
 use zinniadrift_core::units::MonoTime;
 
@@ -30,7 +31,10 @@
     let mut watch = WatchLoop::new(settings());
     assert_eq!(
         watch.next_step(at(0), StoreNeed::NoRelay, NO_PEER_POSITION),
-        StoreStep::List { stale: true }
+        StoreStep::List {
+            stale: true,
+            extent: ListExtent::All
+        }
     );
     watch.on_response(at(0), revision.into(), false);
     watch
@@ -99,7 +103,10 @@
 #[test]
 fn new_balancer_asks_peers_before_the_store() {
     let mut watch = WatchLoop::new(settings());
-    let step = watch.next_step(at(0), StoreNeed::After(at(350)), NO_PEER_POSITION);
+    let need = StoreNeed::After(at(350));
+    assert_eq!(watch.next_step(at(0), need, NO_PEER_POSITION), FIRST_PAGE);
+    watch.on_failure(at(8), StoreCallError::MorePages);
+    let step = watch.next_step(at(8), need, NO_PEER_POSITION);
     assert_eq!(step, StoreStep::WaitUntil(at(350)));
     // A peer provides the state in time, so the store is not called.
     assert_eq!(
@@ -113,15 +120,44 @@
     );
 }
 
+const FIRST_PAGE: StoreStep = StoreStep::List {
+    stale: true,
+    extent: ListExtent::FirstPage,
+};
+
+/// Guards against a balancer of a small fleet that waits for relays without power although the
+/// store's list is short: on the three small sites the seconds after a loss of power cost 0.015.
+#[test]
+fn short_list_is_used_at_once() {
+    let mut watch = WatchLoop::new(settings());
+    let need = StoreNeed::After(at(350));
+    assert_eq!(watch.next_step(at(0), need, NO_PEER_POSITION), FIRST_PAGE);
+    watch.on_stale_list(at(8), 7.into());
+    // Peers may confirm it until then.
+    assert_eq!(
+        watch.next_step(at(8), need, 7.into()),
+        StoreStep::WaitUntil(at(350))
+    );
+    assert_eq!(
+        watch.next_step(at(350), need, 7.into()),
+        watch_without_wait(7)
+    );
+}
+
 /// Guards against a new balancer that waits for peers forever, and one that serves from a list that
 /// may be seconds old longer than a call takes.
 #[test]
 fn new_balancer_without_peers_lists_and_confirms() {
     let mut watch = WatchLoop::new(settings());
     let need = StoreNeed::After(at(350));
+    assert_eq!(watch.next_step(at(0), need, NO_PEER_POSITION), FIRST_PAGE);
+    watch.on_failure(at(8), StoreCallError::MorePages);
     assert_eq!(
         watch.next_step(at(350), need, NO_PEER_POSITION),
-        StoreStep::List { stale: true }
+        StoreStep::List {
+            stale: true,
+            extent: ListExtent::All
+        }
     );
     watch.on_stale_list(at(360), 7.into());
     assert_eq!(
@@ -137,7 +173,13 @@
     let mut watch = after_list(7);
     watch.on_failure(at(10), StoreCallError::Compacted);
     let step = watch.next_step(at(10), StoreNeed::NoRelay, NO_PEER_POSITION);
-    assert_eq!(step, StoreStep::List { stale: false });
+    assert_eq!(
+        step,
+        StoreStep::List {
+            stale: false,
+            extent: ListExtent::All
+        }
+    );
 }
 
 /// Guards against calls without back-off to a store that reports compaction on every call.
@@ -207,7 +249,13 @@
     }
     watch.on_failure(at(60), StoreCallError::Compacted);
     let step = watch.next_step(at(60), StoreNeed::NoRelay, 7.into());
-    assert_eq!(step, StoreStep::List { stale: false });
+    assert_eq!(
+        step,
+        StoreStep::List {
+            stale: false,
+            extent: ListExtent::All
+        }
+    );
 }
 
 fn peer(n: u16) -> SocketAddr {
