Give every decision an order that does not depend on hash maps

Cause: hash maps are seeded per process, and five places of the core let the order of one show: the flows that are reset when their target ends, the requests let go on when several targets have room, the probes of dead targets and the net changes and lists sent to peers (directory), the sequence numbers, merges and ties of the observations, and the routes in an update.

Change: Directory::records, the five maps of ObservationTable, the maps of sharing and the routes are index maps; the waiting requests are in a BTreeMap; close_awaiting sorts. The maps that stay hash maps are only looked up, or are visited for sums of integers, sorted results or predicates without side effects: FlowTracker::flows, FanOut::leases (sorted), RoomGate::services, CallerLedger, WarmUpLimits, ZoneHealth, FirstSeen, route_profiles, response_sizes, median_response_us, Directory::by_*, RequestTable, Dispatcher, WriterSelector, HeldPackets (sorted). The lab's maps are only looked up.

--- a/crates/zinniadrift-core/src/steering/admission/gate.rs
+++ b/crates/zinniadrift-core/src/steering/admission/gate.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -14,7 +15,7 @@
 /// The requests that wait in the balancer, by target, and what the limits of targets depend on.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct AdmissionGate {
-    waiting: HashMap<TargetIndex, WaitingRequests>,
+    waiting: BTreeMap<TargetIndex, WaitingRequests>,
     baselines: HashMap<SocketAddrV4, ResponseBaseline>,
     /// The flows whose requests go on now.
     admitted: Vec<FlowKey>,
--- a/crates/zinniadrift-core/src/steering/directory/target_directory.rs
+++ b/crates/zinniadrift-core/src/steering/directory/target_directory.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use hashbrown::{HashMap, HashSet};
+use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{ServiceId, ZoneName};
@@ -45,7 +46,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     as_of: Position,
-    records: HashMap<TargetIndex, TargetRecord>,
+    /// In the order in which the targets became known.
+    records: IndexMap<TargetIndex, TargetRecord>,
     by_name: HashMap<Box<str>, TargetIndex>,
     /// All targets with a tag; more than one only after a hash collision.
     by_tag: HashMap<TargetTag, Vec<TargetIndex>>,
@@ -318,7 +320,7 @@
     }
 
     fn delete(&mut self, index: TargetIndex) {
-        let Some(record) = self.records.remove(&index) else {
+        let Some(record) = self.records.shift_remove(&index) else {
             return;
         };
         self.by_name.remove(&record.instance.name);
--- a/crates/zinniadrift-core/src/steering/flows/flow_tracker.rs
+++ b/crates/zinniadrift-core/src/steering/flows/flow_tracker.rs
@@ -274,7 +274,7 @@
     }
 
     /// Closes the flows that await a response of `target`; returns each with its last
-    /// acknowledgement.
+    /// acknowledgement, sorted by flow.
     pub(crate) fn close_awaiting(
         &mut self,
         dir: &mut Directory,
@@ -292,6 +292,7 @@
                 closed.push((*key, flow.last_ack));
             }
         }
+        closed.sort_unstable();
         closed
     }
 
--- a/crates/zinniadrift-core/src/steering/observations/observation_table.rs
+++ b/crates/zinniadrift-core/src/steering/observations/observation_table.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use hashbrown::HashMap;
+use indexmap::IndexMap;
 
 use crate::steering::directory::cookie::TargetTag;
 use crate::steering::observations::observation_report::ObservationReport;
@@ -18,13 +18,13 @@
 pub struct ObservationTable {
     id: ReporterId,
     is_relay: bool,
-    reports: HashMap<ReporterId, Reporter>,
+    reports: IndexMap<ReporterId, Reporter>,
     upstream: Upstream,
     /// This balancer's observations and those of the balancers behind it.
-    subtree: HashMap<TargetTag, Observed>,
+    subtree: IndexMap<TargetTag, Observed>,
     /// What was last reported of each target.
-    reported: HashMap<TargetTag, (MonoTime, Observed)>,
-    entries: HashMap<TargetTag, TableEntry>,
+    reported: IndexMap<TargetTag, (MonoTime, Observed)>,
+    entries: IndexMap<TargetTag, TableEntry>,
     seq: u64,
     /// The sequence number of the last change for which a waiting peer is answered early.
     alert_seq: u64,
@@ -48,14 +48,14 @@
     at: MonoTime,
     hops: u8,
     is_relay: bool,
-    targets: HashMap<TargetTag, Observed>,
+    targets: IndexMap<TargetTag, Observed>,
 }
 
 /// The table of the peer that this balancer requests updates from.
 #[derive(Clone, Debug, Default)]
 struct Upstream {
     mark: ObservationMark,
-    targets: HashMap<TargetTag, Observed>,
+    targets: IndexMap<TargetTag, Observed>,
 }
 
 /// A place in the sequence of changes of a balancer's table.
@@ -244,7 +244,7 @@
             at: now,
             hops: report.hops,
             is_relay: report.relay,
-            targets: HashMap::new(),
+            targets: IndexMap::new(),
         });
         reporter.at = now;
         reporter.hops = report.hops;
@@ -319,7 +319,7 @@
     pub(crate) fn refresh(
         &mut self,
         now: MonoTime,
-        own: HashMap<TargetTag, Observed>,
+        own: IndexMap<TargetTag, Observed>,
         suspicion_base: Duration,
     ) {
         self.last_refresh = Some(now);
@@ -366,7 +366,7 @@
 
     /// Replaces the subtree's observations by the peer's sums, which include what the subtree
     /// reported last.
-    fn add_upstream(&self, total: &mut HashMap<TargetTag, Observed>) {
+    fn add_upstream(&self, total: &mut IndexMap<TargetTag, Observed>) {
         for (target, above) in &self.upstream.targets {
             let Some(below) = total.get_mut(target) else {
                 total.insert(*target, *above);
@@ -540,8 +540,8 @@
 
 /// Adds the reports of the relays, or those of the balancers behind this one.
 fn add_reports(
-    sums: &mut HashMap<TargetTag, Observed>,
-    reports: &HashMap<ReporterId, Reporter>,
+    sums: &mut IndexMap<TargetTag, Observed>,
+    reports: &IndexMap<ReporterId, Reporter>,
     of_relays: bool,
 ) {
     for reporter in reports.values().filter(|r| r.is_relay == of_relays) {
--- a/crates/zinniadrift-core/src/steering/observations/sharing.rs
+++ b/crates/zinniadrift-core/src/steering/observations/sharing.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use hashbrown::HashMap;
+use indexmap::IndexMap;
 
 use crate::ids::ServiceId;
 use crate::units::MonoTime;
@@ -128,8 +128,8 @@
     }
 
     fn refresh_observations(&mut self, now: MonoTime) {
-        let mut own: HashMap<TargetTag, Observed> = HashMap::new();
-        let mut services: HashMap<ServiceId, Vec<(TargetTag, u16)>> = HashMap::new();
+        let mut own: IndexMap<TargetTag, Observed> = IndexMap::new();
+        let mut services: IndexMap<ServiceId, Vec<(TargetTag, u16)>> = IndexMap::new();
         for record in self.directory.records_mut() {
             let outstanding = record.pending_opens + record.active_requests;
             if let Some(observed) = record.observed.observe(now, outstanding) {
@@ -198,7 +198,7 @@
     /// Chooses the reports of unresponsive targets that are believed: of each service at most half
     /// of the listed targets, those with the most witnesses.
     fn limit_belief(&mut self, now: MonoTime) {
-        let mut services: HashMap<ServiceId, (usize, Vec<(u32, TargetTag)>)> = HashMap::new();
+        let mut services: IndexMap<ServiceId, (usize, Vec<(u32, TargetTag)>)> = IndexMap::new();
         for record in self.directory.records_mut() {
             if !record.accepts_new_flows() {
                 continue;
--- a/crates/zinniadrift-core/src/steering/routes/route_table.rs
+++ b/crates/zinniadrift-core/src/steering/routes/route_table.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use hashbrown::HashMap;
+use indexmap::IndexMap;
 
 use crate::ids::ServiceId;
 use crate::units::Version;
@@ -13,14 +13,14 @@
 pub struct RouteTable {
     version: Version,
     idle_timeout: Duration,
-    routes: HashMap<SocketAddrV4, Route>,
+    routes: IndexMap<SocketAddrV4, Route>,
     warm_ups: Vec<ServiceWarmUp>,
 }
 
 impl RouteTable {
     /// Returns a table of the routes; of several routes with one address, it has the first.
     pub fn new(version: Version, idle_timeout: Duration, routes: Vec<Route>) -> Self {
-        let mut by_address = HashMap::with_capacity(routes.len());
+        let mut by_address = IndexMap::with_capacity(routes.len());
         for route in routes {
             by_address.entry(route.address).or_insert(route);
         }
@@ -73,7 +73,7 @@
         self.routes.get(&address)
     }
 
-    /// Returns all routes in no particular order.
+    /// Returns all routes in the order in which they were given.
     pub fn iter(&self) -> impl Iterator<Item = &Route> {
         self.routes.values()
     }
--- a/crates/zinniadrift-lab/src/experiments/overload/balancer_events.rs
+++ b/crates/zinniadrift-lab/src/experiments/overload/balancer_events.rs
@@ -78,7 +78,13 @@
                 self.queue.add(self.now + PROBE_TIMEOUT, event);
             }
         }
-        state.core.take_decisions().for_each(drop);
+        let decisions = state.core.take_decisions();
+        if let Some(log) = &mut self.decisions {
+            let at = self.now.as_micros();
+            log.extend(decisions.map(|d| format!("{at} {balancer} {d:?}")));
+        } else {
+            decisions.for_each(drop);
+        }
         state.core.take_response_times().for_each(drop);
         let next = state.core.next_tick();
         if next < state.next_tick || state.next_tick <= self.now {
--- a/crates/zinniadrift-lab/src/experiments/overload/mod.rs
+++ b/crates/zinniadrift-lab/src/experiments/overload/mod.rs
@@ -26,7 +26,7 @@
 
 pub use caller::{CallerRoute, LONG_FLOWS, SINGLE_REQUESTS};
 pub use scenario::{Fault, Scenario};
-pub use simulation::run;
+pub use simulation::{decision_log, run};
 pub use tally::{OpenTally, RouteTally, Tally};
 
 /// Measures the requests answered in time, late and not at all, over the load.
--- a/crates/zinniadrift-lab/src/experiments/overload/simulation.rs
+++ b/crates/zinniadrift-lab/src/experiments/overload/simulation.rs
@@ -36,6 +36,15 @@
     simulation.tally
 }
 
+/// Runs a scenario like [`run`] and returns the decisions of all balancers, one a line with the time
+/// in microseconds and the number of the balancer.
+pub fn decision_log(scenario: &Scenario, cfg: &SteeringSettings, seed: u64) -> Vec<String> {
+    let mut simulation = Simulation::new(*scenario, cfg.clone(), seed);
+    simulation.decisions = Some(Vec::new());
+    simulation.run();
+    simulation.decisions.unwrap_or_default()
+}
+
 /// The state of a run; the other files of this folder process its events.
 pub(super) struct Simulation {
     pub(super) scenario: Scenario,
@@ -53,6 +62,8 @@
     pub(super) requests: Vec<Request>,
     pub(super) revision: u64,
     pub(super) tally: Tally,
+    /// The lines of the decision log, if it is wanted.
+    pub(super) decisions: Option<Vec<String>>,
 }
 
 impl Simulation {
@@ -80,6 +91,7 @@
             requests: Vec::new(),
             revision: 1,
             tally: Tally::default(),
+            decisions: None,
         };
         simulation.start_balancers();
         for caller in 0..scenario.callers {
--- a/tests/testsuite/steering/fleet.rs
+++ b/tests/testsuite/steering/fleet.rs
@@ -116,6 +116,8 @@
     next_port: u32,
     /// The placements by the number of earlier opening packets.
     pub(super) placements: [u64; 3],
+    /// The lines of the decision log, if it is wanted.
+    pub(super) decisions: Option<Vec<String>>,
     /// Reports are changed before they are sent.
     pub(super) falsify: Option<fn(usize, &mut ObservationReport)>,
 }
@@ -150,6 +152,7 @@
             now_ms: 1_000_000,
             next_port: 0,
             placements: [0; 3],
+            decisions: None,
             falsify: None,
         };
         for at in 0..fleet.balancers.len() {
@@ -283,7 +286,13 @@
             let probes: Vec<_> = b.core.take_probes().collect();
             let urgent = b.core.observations().urgent_reports();
             let is_urgent = std::mem::replace(&mut b.urgent_reports, urgent) != urgent;
-            b.core.take_decisions().for_each(drop);
+            let decisions = b.core.take_decisions();
+            if let Some(log) = &mut self.decisions {
+                let now_ms = self.now_ms;
+                log.extend(decisions.map(|d| format!("{now_ms} {at} {d:?}")));
+            } else {
+                decisions.for_each(drop);
+            }
             b.core.take_response_times().for_each(drop);
             for probe in probes {
                 let is_dead = self.targets[self.by_address[&probe.address]].is_dead;
--- a/tests/testsuite/steering/mod.rs
+++ b/tests/testsuite/steering/mod.rs
@@ -14,6 +14,7 @@
 mod placement;
 mod refusals;
 mod relays;
+mod reproducibility;
 mod robustness;
 mod room;
 mod store_model;
