Wait until all balancers of a test cluster are ready

Cause: the rotation of the stand-in holds all balancers while fewer than half are ready, as the platform's does, so that wait_for_rotation returned before any process ran. observations_reach_all_balancers then sent SIGHUP to processes that had no handler yet: 5 of 55 runs beside 8 busy processes ended within 1 s, as balancer 5 was gone. Another 5 failed after 60 s, always balancer 4, and are not explained by this for certain.

Change: start_cluster_with waits for the readiness of every balancer first, which is stricter. The two tests print the balancers' logs when they fail. No check changes.

--- a/tests/testsuite/edge_processes.rs
+++ b/tests/testsuite/edge_processes.rs
@@ -53,6 +53,7 @@
     };
     let mut cluster = TestCluster::start(&settings).await.unwrap();
     let balancers = usize::from(settings.balancers);
+    assert!(cluster.wait_until_ready(CHANGE_TIMEOUT).await);
     assert!(cluster.wait_for_rotation(balancers, CHANGE_TIMEOUT).await);
     cluster
 }
@@ -447,10 +448,12 @@
     let deadline = Instant::now() + CHANGE_TIMEOUT;
     let mut reached = vec![false; 6];
     while reached.contains(&false) {
-        assert!(
-            Instant::now() < deadline,
-            "only {reached:?} know the target"
-        );
+        if Instant::now() >= deadline {
+            for n in (0..6).filter(|n| !reached[*n]) {
+                eprintln!("balancer {n}:\n{}", log_of(&cluster.balancers[n]));
+            }
+            panic!("only {reached:?} know the target");
+        }
         let body = serde_json::to_vec(&report).unwrap();
         let req = Request::post(format!("http://{address}/steering/observations"));
         let req = req.body(Full::new(Bytes::from(body))).unwrap();
@@ -494,6 +497,11 @@
     }
     let summary = checker.summary();
     assert_eq!(summary.violations, Vec::<String>::new());
+    if !summary.failed.is_empty() {
+        for balancer in &cluster.balancers {
+            eprintln!("{}", log_of(balancer));
+        }
+    }
     assert_eq!(summary.failed, Default::default());
     cluster.stop(true).await;
 }
