Notice targets that refuse connections by overdue answers

A zone's targets had ended; their hosts refuse connections, and the refusal goes straight to the caller, which opens another flow at once and never retransmits an opening packet. A balancer noticed dead targets by retransmissions only, and never avoided its own zone, so that each caller used up its three attempts there.

Change: placement.open_evidence chooses what shows that a target takes no new flows: "retransmission" (before) or "overdue". With the latter an answer is overdue after the learned time to open (mean and deviation as in RFC 6298, 20 to 150 ms); two overdue targets of a zone without any response of it make the zone avoided, the balancer's own zone too. Overdue answers are looked for when a flow is placed, so no timer is added. Liveness, and so resets of open flows, still go by retransmissions only.

Replays (steering::refused_opens): with "retransmission" all 40 requests to a refusing zone fail, with "overdue" at most 4; answers that become slow on a busy balancer do not push flows out of the zone.

--- a/crates/zinniadrift-core/src/steering/counters.rs
+++ b/crates/zinniadrift-core/src/steering/counters.rs
@@ -7,6 +7,8 @@
     pub opened: u64,
     /// Retransmitted opening packets that went to another target than the transmission before.
     pub moved: u64,
+    /// Opening packets whose answers took longer than usual.
+    pub opens_overdue: u64,
     /// Forwarded packets of open flows, and forwarded retransmissions of opening packets.
     pub forwarded: u64,
     /// Packets forwarded to a target that the store no longer lists.
--- a/crates/zinniadrift-core/src/steering/flows/flow_tracker.rs
+++ b/crates/zinniadrift-core/src/steering/flows/flow_tracker.rs
@@ -36,6 +36,8 @@
 pub(crate) struct PacketObservation {
     /// The target responded since the last packet.
     pub(crate) responded: bool,
+    /// The time from the opening packet to this one, if this one shows the answer to it.
+    pub(crate) open_time: Option<Duration>,
     /// The response time of a request that has ended, and the number of requests that the target
     /// had until then.
     pub(crate) response_time: Option<(Duration, u32)>,
@@ -180,11 +182,12 @@
             return observed;
         };
         let before = flow.phase;
-        flow.last_seen = now;
+        let last_seen = std::mem::replace(&mut flow.last_seen, now);
         match flow.phase {
             FlowPhase::Opening => {
                 record.record_response(now);
                 observed.responded = true;
+                observed.open_time = Some(now.since(last_seen));
                 flow.last_ack = seg.ack;
                 // The request of a caller that opened the flow for it follows at once.
                 flow.phase = FlowPhase::Idle;
@@ -255,6 +258,17 @@
         true
     }
 
+    /// Marks the answer to the opening packet sent at `sent` as overdue and returns the flow's target;
+    /// `None` if it was answered, retransmitted or closed since.
+    pub(crate) fn mark_overdue(&mut self, sent: MonoTime, flow: &FlowKey) -> Option<TargetIndex> {
+        let flow = self.flows.get_mut(flow)?;
+        if flow.phase != FlowPhase::Opening || flow.last_seen != sent {
+            return None;
+        }
+        flow.is_overdue = true;
+        Some(flow.target)
+    }
+
     /// Stops tracking a flow and returns it.
     pub(crate) fn remove(&mut self, dir: &mut Directory, flow: &FlowKey) -> Option<TrackedFlow> {
         let flow = self.flows.remove(flow)?;
@@ -326,6 +340,7 @@
             last_ack: 0,
             next_seq: seg.seq,
             last_seen: now,
+            is_overdue: false,
             requests: 0,
             bytes: 0,
         }
--- a/crates/zinniadrift-core/src/steering/flows/mod.rs
+++ b/crates/zinniadrift-core/src/steering/flows/mod.rs
@@ -4,5 +4,6 @@
 
 pub(super) mod flow_tracker;
 pub(super) mod open_flows;
+pub(super) mod open_timer;
 pub(super) mod segment;
 pub(super) mod tracked_flow;
--- a/crates/zinniadrift-core/src/steering/flows/open_flows.rs
+++ b/crates/zinniadrift-core/src/steering/flows/open_flows.rs
@@ -111,6 +111,9 @@
                 let observed =
                     self.flows
                         .record_packet(&mut self.directory, now, seg, index, may_hold);
+                if let Some(took) = observed.open_time {
+                    self.open_timer.record(took);
+                }
                 if observed.is_later_request {
                     self.use_permit(now, index);
                 }
@@ -158,9 +161,7 @@
 
     fn record_response(&mut self, now: MonoTime, index: TargetIndex) {
         self.last_response = now;
-        if let Some(record) = self.directory.get(index)
-            && record.instance.zone != self.cfg.zone
-        {
+        if let Some(record) = self.directory.get(index) {
             self.zone_health.record_response(&record.instance.zone);
         }
     }
--- a/crates/zinniadrift-core/src/steering/flows/tracked_flow.rs
+++ b/crates/zinniadrift-core/src/steering/flows/tracked_flow.rs
@@ -16,6 +16,8 @@
     pub(crate) next_seq: u32,
     /// The time of the last packet.
     pub(crate) last_seen: MonoTime,
+    /// Whether the answer to the opening packet is overdue.
+    pub(crate) is_overdue: bool,
     /// The number of requests so far.
     pub(crate) requests: u32,
     /// The bytes that the caller has sent so far.
--- a/crates/zinniadrift-core/src/steering/mod.rs
+++ b/crates/zinniadrift-core/src/steering/mod.rs
@@ -59,6 +59,7 @@
 pub use observations::reporter_id::ReporterId;
 pub use observations::response_level::ResponseLevel;
 pub use observations::target_observation::TargetObservation;
+pub use placement::open_evidence::OpenEvidence;
 pub use placement::placement_settings::PlacementSettings;
 pub use refusals::RefusalSettings;
 pub use routes::route::{Route, RouteKind, WeightedService};
--- a/crates/zinniadrift-core/src/steering/placement/mod.rs
+++ b/crates/zinniadrift-core/src/steering/placement/mod.rs
@@ -5,6 +5,7 @@
 
 pub(super) mod choice;
 pub(super) mod eligibility;
+pub(super) mod open_evidence;
 pub(super) mod placement_settings;
 pub(super) mod placing;
 pub(super) mod proportional;
--- a/crates/zinniadrift-core/src/steering/placement/placement_settings.rs
+++ b/crates/zinniadrift-core/src/steering/placement/placement_settings.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::steering::millis;
+use crate::steering::placement::open_evidence::OpenEvidence;
 
 /// The settings of the choice of a target for a new flow.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -32,7 +33,10 @@
     /// a target in another zone gets one, unless all its slots are in use; at least 1. Flows within
     /// a zone survive a partition between zones.
     pub long_flow_remote_factor: f32,
-    /// Whether a zone is avoided whose targets do not respond.
+    /// What shows that a target does not take new flows, `"retransmission"` or `"overdue"`.
+    pub open_evidence: OpenEvidence,
+    /// Whether a zone is avoided whose targets do not respond; the balancer's own zone only with the
+    /// evidence `"overdue"`.
     pub avoid_silent_zones: bool,
     /// Whether a retransmitted opening packet goes to a target that was not tried yet.
     pub move_retransmitted_opens: bool,
@@ -84,6 +88,7 @@
             cross_zone_cost: 0.15,
             bytes_per_cost_unit: 20_000.0,
             long_flow_remote_factor: 8.0,
+            open_evidence: OpenEvidence::default(),
             avoid_silent_zones: true,
             move_retransmitted_opens: true,
             use_lapsed_targets: true,
--- a/crates/zinniadrift-core/src/steering/placement/placing.rs
+++ b/crates/zinniadrift-core/src/steering/placement/placing.rs
@@ -15,7 +15,7 @@
 use crate::steering::routes::route_profile::RouteProfile;
 use crate::steering::targets::target_record::TargetRecord;
 use crate::steering::{
-    Decision, DropReason, ResetReason, RoomAnswer, Route, Segment, Steering, Verdict,
+    Decision, DropReason, OpenEvidence, ResetReason, RoomAnswer, Route, Segment, Steering, Verdict,
     WeightedService,
 };
 
@@ -50,6 +50,7 @@
         let Some(route) = routes.get(seg.flow.service) else {
             return self.handle_missing_route(now, seg);
         };
+        self.record_overdue_opens(now);
         let unanswered = self.unanswered_target(now, seg, retransmissions);
         let failed = unanswered
             .filter(|_| self.cfg.placement.move_retransmitted_opens)
@@ -77,6 +78,9 @@
         if self.shares_observations() {
             self.opens.push(now, seg.flow);
         }
+        if self.cfg.placement.open_evidence == OpenEvidence::Overdue {
+            self.open_timer.push(now, seg.flow);
+        }
         self.forward(seg, index)
     }
 
@@ -96,14 +100,40 @@
             return None;
         }
         let index = flow.target;
+        let is_overdue = flow.is_overdue;
         let record = self.directory.get_mut(index)?;
-        record.record_unanswered_open(now, self.cfg.placement.suspicion_timeout);
-        let zone = record.instance.zone.clone();
+        record.liveness.record_retransmission();
+        if !is_overdue {
+            self.record_unanswered_open(now, index);
+        }
         self.queue_probe_if_due(now, index);
-        if zone != self.cfg.zone && self.cfg.placement.avoid_silent_zones {
+        Some(index)
+    }
+
+    /// Avoids a target that did not respond to an opening packet, and its zone if none of it does.
+    fn record_unanswered_open(&mut self, now: MonoTime, index: TargetIndex) {
+        let cfg = &self.cfg.placement;
+        let Some(record) = self.directory.get_mut(index) else {
+            return;
+        };
+        record.record_unanswered_open(now, cfg.suspicion_timeout);
+        let zone = record.instance.zone.clone();
+        let is_counted = zone != self.cfg.zone || cfg.open_evidence == OpenEvidence::Overdue;
+        if is_counted && cfg.avoid_silent_zones {
             self.zone_health.record_unanswered_open(&zone, index, now);
         }
-        Some(index)
+    }
+
+    /// Records the opening packets whose answers are overdue.
+    ///
+    /// Only the next placement needs to know, so that no timer is set for them.
+    fn record_overdue_opens(&mut self, now: MonoTime) {
+        while let Some((sent, flow)) = self.open_timer.pop_overdue(now) {
+            if let Some(index) = self.flows.mark_overdue(sent, &flow) {
+                self.counters.opens_overdue += 1;
+                self.record_unanswered_open(now, index);
+            }
+        }
     }
 
     fn place(
--- a/crates/zinniadrift-core/src/steering/state_machine.rs
+++ b/crates/zinniadrift-core/src/steering/state_machine.rs
@@ -13,6 +13,7 @@
 use crate::steering::directory::cookie::TargetTag;
 use crate::steering::directory::first_seen::FirstSeen;
 use crate::steering::flows::flow_tracker::FlowTracker;
+use crate::steering::flows::open_timer::OpenTimer;
 use crate::steering::observations::observation_table::ObservationTable;
 use crate::steering::observations::unanswered_opens::UnansweredOpens;
 use crate::steering::refusals::ResponseSize;
@@ -67,6 +68,7 @@
     /// What is known of targets from all balancers.
     pub(super) observations: ObservationTable,
     pub(super) opens: UnansweredOpens,
+    pub(super) open_timer: OpenTimer,
     pub(super) probes: Vec<ProbeRequest>,
     pub(super) counters: SteeringCounters,
     pub(super) decisions: Vec<Decision>,
@@ -121,6 +123,7 @@
             last_response: MonoTime::default(),
             observations: ObservationTable::new(ReporterId::from_bytes(&seed.to_be_bytes())),
             opens: UnansweredOpens::default(),
+            open_timer: OpenTimer::default(),
             probes: Vec::new(),
             counters: SteeringCounters::default(),
             decisions: Vec::new(),
--- a/crates/zinniadrift-core/src/steering/sync/updates.rs
+++ b/crates/zinniadrift-core/src/steering/sync/updates.rs
@@ -297,6 +297,7 @@
         self.routes_sync.clear_confirmation();
         self.zone_drains.clear_confirmation();
         self.paused_at = now;
+        self.open_timer.clear_pending();
         self.held_share.end_grant();
         self.refresh_own_points(now);
         if self.shares_observations() {
--- a/crates/zinniadrift-core/src/steering/targets/target_record.rs
+++ b/crates/zinniadrift-core/src/steering/targets/target_record.rs
@@ -198,7 +198,6 @@
     pub(crate) fn record_unanswered_open(&mut self, now: MonoTime, base: Duration) {
         let doublings = self.unanswered_opens.min(MAX_SUSPICION_DOUBLINGS);
         self.unanswered_opens += 1;
-        self.liveness.record_retransmission();
         self.suspect_until = now + base * (1 << doublings);
     }
 
--- a/crates/zinniadrift-runtime/src/steering/edge_metrics.rs
+++ b/crates/zinniadrift-runtime/src/steering/edge_metrics.rs
@@ -25,7 +25,7 @@
 type DriverCounter = (Metric, fn(&DriverCounters) -> u64);
 type StateGauge = (Metric, fn(&Steering, MonoTime) -> i64);
 
-pub(crate) const STEERING_COUNTERS: [CoreCounter; 24] = [
+pub(crate) const STEERING_COUNTERS: [CoreCounter; 25] = [
     (
         Metric::counter(
             "flows_opened",
@@ -42,6 +42,14 @@
         ),
         |c| c.moved,
     ),
+    (
+        Metric::counter(
+            "opens_overdue",
+            "packets",
+            "opening packets whose answers took longer than usual",
+        ),
+        |c| c.opens_overdue,
+    ),
     (
         Metric::counter(
             "packets_forwarded",
--- a/tests/testsuite/steering/mod.rs
+++ b/tests/testsuite/steering/mod.rs
@@ -13,6 +13,7 @@
 mod observations;
 mod placement;
 mod refusals;
+mod refused_opens;
 mod relays;
 mod reproducibility;
 mod robustness;
