--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,9 @@
-//! Maintenance tasks of the workspace: `cargo xtask generate` and `cargo xtask ablation`.
+//! Maintenance tasks of the workspace: `cargo xtask generate`, `cargo xtask ablation` and
+//! `cargo xtask compare DECISION`.
 
 mod ablation;
+mod comparison;
+mod journal;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -17,10 +20,11 @@
     let result = match task.as_deref() {
         Some("generate") => generate(),
         Some("ablation") => ablation::Ablation::read().map(|a| a.print()),
-        _ => {
-            eprintln!("usage: cargo xtask generate|ablation");
-            return ExitCode::from(2);
-        }
+        Some("compare") => match args.subcommand() {
+            Ok(Some(decision)) => comparison::Comparison::read(&decision).map(|c| c.print()),
+            _ => return usage(),
+        },
+        _ => return usage(),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -31,6 +35,11 @@
     }
 }
 
+fn usage() -> ExitCode {
+    eprintln!("usage: cargo xtask generate|ablation|compare DECISION");
+    ExitCode::from(2)
+}
+
 /// Generates the protobuf messages and tonic stubs into the committed directory.
 fn generate() -> Result<(), Whatever> {
     let files = protox::compile([PROTO_FILE], [Path::new(PROTO_DIR)])
