Count a request as active until the timeout of its route

Cause: a request without a packet for 5 s no longer counted, which stood for routes with timeouts of 3 and 4 s; on the shifted work they are 6 and 12 s. A target at work on such a request looked idle and got further flows.

Change: the timeout of the route decides, 5 s where a route has none. The replay long_request_counts_until_its_timeout fails before and passes now.

--- a/crates/zinniadrift-core/src/steering/flows/flow_tracker.rs
+++ b/crates/zinniadrift-core/src/steering/flows/flow_tracker.rs
@@ -8,7 +8,7 @@
 
 use crate::steering::directory::target_directory::{Directory, TargetIndex};
 use crate::steering::flows::tracked_flow::{FlowPhase, TrackedFlow};
-use crate::steering::{Segment, SegmentKind};
+use crate::steering::{RouteTable, Segment, SegmentKind};
 
 /// Observes the flows whose packets pass through this balancer to estimate the load of targets.
 ///
@@ -27,8 +27,8 @@
 
 /// The time since the last opening packet after which the caller has given up.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// The time without a packet after which a request no longer counts as active: the longest request
-/// on a slowed target takes less, and the caller of a lost request has retried by then.
+/// The time without a packet after which a request of a route without a timeout no longer counts as
+/// active.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// What a packet of an open flow shows.
@@ -310,16 +310,29 @@
         closed
     }
 
-    /// Stops tracking flows that had no packet for `idle`.
-    pub(crate) fn sweep(&mut self, dir: &mut Directory, now: MonoTime, idle: Duration) {
-        self.flows.retain(|_, flow| {
+    /// Stops tracking flows that had no packet for the routes' idle timeout, or for `lifetime` if they
+    /// have none.
+    ///
+    /// A request counts as active until its caller has given up, by the timeout of its route.
+    pub(crate) fn sweep(
+        &mut self,
+        dir: &mut Directory,
+        routes: &RouteTable,
+        now: MonoTime,
+        lifetime: Duration,
+    ) {
+        let idle = match routes.idle_timeout() {
+            Duration::ZERO => lifetime,
+            timeout => timeout,
+        };
+        self.flows.retain(|key, flow| {
             let idle_time = now.since(flow.last_seen);
             let keep = idle_time <= idle
                 && (flow.phase != FlowPhase::Opening || idle_time <= OPEN_TIMEOUT);
             if !keep {
                 release(dir, flow);
             } else if matches!(flow.phase, FlowPhase::AwaitingResponse { .. })
-                && idle_time > REQUEST_TIMEOUT
+                && idle_time > request_timeout(routes, key)
             {
                 if let Some(record) = dir.get_mut(flow.target) {
                     record.leave_phase(flow.phase);
@@ -354,6 +367,11 @@
     }
 }
 
+fn request_timeout(routes: &RouteTable, flow: &FlowKey) -> Duration {
+    let route = routes.get(flow.service);
+    route.and_then(|r| r.timeout).unwrap_or(REQUEST_TIMEOUT)
+}
+
 fn release(dir: &mut Directory, flow: &TrackedFlow) {
     if flow.phase == FlowPhase::Closed {
         return;
--- a/crates/zinniadrift-core/src/steering/state_machine.rs
+++ b/crates/zinniadrift-core/src/steering/state_machine.rs
@@ -279,11 +279,9 @@
         let confirmed = self.directory_sync.age(now).map(|age| now - age);
         let (grace, retention) = (self.cfg.lapse_grace, self.cfg.flow_lifetime);
         self.directory.sweep(now, confirmed, grace, retention);
-        let idle = match self.routes.idle_timeout() {
-            Duration::ZERO => self.cfg.flow_lifetime,
-            timeout => timeout,
-        };
-        self.flows.sweep(&mut self.directory, now, idle);
+        let lifetime = self.cfg.flow_lifetime;
+        self.flows
+            .sweep(&mut self.directory, &self.routes, now, lifetime);
         let directory = &self.directory;
         self.unknown_tags
             .retain(|tag, at| directory.find_by_tag(*tag).is_none() && now.since(at) < retention);
--- a/tests/testsuite/steering/placement.rs
+++ b/tests/testsuite/steering/placement.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use zinniadrift_core::steering::{
-    InstanceState, ObservationSettings, ResetReason, SteeringSettings, TargetInstance,
+    InstanceState, ObservationSettings, ResetReason, Route, SteeringSettings, TargetInstance,
 };
 
 use super::world::{
     CERTIFICATE, STREAM, UPLOAD, World, ZONE, draining_target, forwarded, remote_target,
-    reset_reason, target,
+    reset_reason, standard_routes, target,
 };
 
 fn count_by_target(
@@ -397,3 +397,26 @@
     let refused = reset_reason(w.open(50, STREAM, 0));
     assert_eq!(refused, Some(ResetReason::Overloaded));
 }
+
+/// Guards against targets that look idle because a request of a route with a long timeout takes more
+/// than a few seconds.
+#[test]
+fn long_request_counts_until_its_timeout() {
+    for seed in 1..=10 {
+        let mut w = World::new(seed, vec![target(1), target(2)]);
+        let timeout = Duration::from_secs(12);
+        let routes = standard_routes().into_iter().map(|r| Route {
+            timeout: Some(timeout),
+            ..r
+        });
+        w.configure(2, routes.collect());
+        let (busy, cookie) = w.establish(1, CERTIFICATE);
+        forwarded(w.request(1, CERTIFICATE, cookie, 1));
+        // The other target has two idle flows, which are less load than a request.
+        for port in [2, 3] {
+            assert_ne!(w.establish(port, CERTIFICATE).0, busy, "seed {seed}");
+        }
+        w.advance(8_000);
+        assert_ne!(forwarded(w.open(4, CERTIFICATE, 0)), busy, "seed {seed}");
+    }
+}
