--- a/tests/testsuite/steering/observations.rs
+++ b/tests/testsuite/steering/observations.rs
@@ -50,6 +50,7 @@
 speeds! {
     load_follows_the_speed: 1;
     load_follows_the_speed_with_other_arrivals: 3;
+    load_follows_the_speed_with_further_arrivals: 106;
 }
 
 /// Guards against balancers that find out one by one that most targets died.
@@ -144,11 +145,8 @@
     );
 }
 
-/// Guards against balancers that go on with what a lost relay told them, and against the loss of the
-/// other relays' observations.
-#[test]
-fn lost_relay_leaves_own_observations() {
-    let mut fleet = Fleet::new(settings(), 5);
+fn check_lost_relay(seed: u64) {
+    let mut fleet = Fleet::new(settings(), seed);
     fleet.run(10_000);
     fleet.lose(0);
     fleet.placements = [0; 3];
@@ -174,6 +172,24 @@
     assert!(fleet.placements[0] > 2_700, "{:?}", fleet.placements);
 }
 
+macro_rules! lost_relay {
+    ($($name:ident: $seed:expr;)*) => {
+        $(
+            /// Guards against balancers that go on with what a lost relay told them, and against the
+            /// loss of the other relays' observations.
+            #[test]
+            fn $name() {
+                check_lost_relay($seed);
+            }
+        )*
+    };
+}
+
+lost_relay! {
+    lost_relay_leaves_own_observations: 5;
+    lost_relay_leaves_own_observations_with_other_arrivals: 111;
+}
+
 /// Guards against a fleet without traffic that sends observations.
 #[test]
 fn idle_fleet_sends_nothing() {
--- a/tests/testsuite/steering/room.rs
+++ b/tests/testsuite/steering/room.rs
@@ -146,21 +146,36 @@
     );
 }
 
-/// Guards against refusals because of requests that wait for a few slow or dead targets while
-/// others have room: the load is 0.95 of what those that are left can do.
-#[test]
-fn slow_targets_refuse_no_flow_of_others() {
+fn check_slow_targets(seeds: impl IntoIterator<Item = u64>) {
     let scenario = Scenario {
         burst_load: 0.6,
         fault: Some(Fault::DeadAndSlowTargets),
         ..Scenario::default()
     };
-    for seed in [1, 2, 3] {
+    for seed in seeds {
         let tally = run(&scenario, &policy_settings("room").unwrap(), seed);
-        assert_eq!(tally.opens.refused, 0, "{}", summary(&tally));
+        assert_eq!(tally.opens.refused, 0, "seed {seed}: {}", summary(&tally));
     }
 }
 
+macro_rules! slow_targets {
+    ($($name:ident: $seeds:expr;)*) => {
+        $(
+            /// Guards against refusals because of requests that wait for a few slow or dead targets
+            /// while others have room: the load is 0.95 of what those that are left can do.
+            #[test]
+            fn $name() {
+                check_slow_targets($seeds);
+            }
+        )*
+    };
+}
+
+slow_targets! {
+    slow_targets_refuse_no_flow_of_others: [1, 2, 3];
+    slow_targets_refuse_no_flow_with_other_arrivals: 4..=23;
+}
+
 const START: MonoTime = MonoTime::from_millis(1_000_000);
 
 /// Returns ten targets with two slots and eight queue places; the wait follows from `outstanding`.
