--- a/crates/zinniadrift-core/src/steering/decision.rs
+++ b/crates/zinniadrift-core/src/steering/decision.rs
@@ -125,6 +125,13 @@
         /// The balancers that have an unanswered opening packet at the target, as far as is known.
         witnesses: u32,
     },
+    /// A zone is avoided because several of its targets do not respond, or one of them does again.
+    ZoneSilent {
+        /// The zone.
+        zone: ZoneName,
+        /// Whether it is avoided now.
+        avoided: bool,
+    },
     /// Responses of a target began to be delayed by a queue, or no longer are.
     Congestion {
         /// The target's name.
--- a/crates/zinniadrift-core/src/steering/flows/open_flows.rs
+++ b/crates/zinniadrift-core/src/steering/flows/open_flows.rs
@@ -6,7 +6,7 @@
 use crate::steering::directory::target_directory::TargetIndex;
 use crate::steering::targets::target_record::{Presence, TargetRecord};
 use crate::steering::{
-    Cookie, DropReason, ResetReason, Segment, SegmentKind, Steering, SyncStatus, Verdict,
+    Cookie, Decision, DropReason, ResetReason, Segment, SegmentKind, Steering, SyncStatus, Verdict,
 };
 
 impl Steering {
@@ -161,8 +161,13 @@
 
     fn record_response(&mut self, now: MonoTime, index: TargetIndex) {
         self.last_response = now;
-        if let Some(record) = self.directory.get(index) {
-            self.zone_health.record_response(&record.instance.zone);
+        let Some(record) = self.directory.get(index) else {
+            return;
+        };
+        if self.zone_health.record_response(&record.instance.zone) {
+            let zone = record.instance.zone.clone();
+            let avoided = false;
+            self.record_decision(Decision::ZoneSilent { zone, avoided });
         }
     }
 
--- a/crates/zinniadrift-core/src/steering/placement/placing.rs
+++ b/crates/zinniadrift-core/src/steering/placement/placing.rs
@@ -119,8 +119,12 @@
         record.record_unanswered_open(now, cfg.suspicion_timeout);
         let zone = record.instance.zone.clone();
         let is_counted = zone != self.cfg.zone || cfg.open_evidence == OpenEvidence::Overdue;
-        if is_counted && cfg.avoid_silent_zones {
-            self.zone_health.record_unanswered_open(&zone, index, now);
+        if is_counted
+            && cfg.avoid_silent_zones
+            && self.zone_health.record_unanswered_open(&zone, index, now)
+        {
+            let avoided = true;
+            self.record_decision(Decision::ZoneSilent { zone, avoided });
         }
     }
 
--- a/crates/zinniadrift-core/src/steering/targets/zone_health.rs
+++ b/crates/zinniadrift-core/src/steering/targets/zone_health.rs
@@ -31,13 +31,13 @@
 const AVOID_DURATION: Duration = Duration::from_secs(2);
 
 impl ZoneHealth {
-    /// Records an opening packet without a response.
+    /// Records an opening packet without a response; returns whether the zone is avoided only now.
     pub(crate) fn record_unanswered_open(
         &mut self,
         zone: &ZoneName,
         target: TargetIndex,
         now: MonoTime,
-    ) {
+    ) -> bool {
         let unanswered = self.zones.entry_ref(zone).or_default();
         if now.since(unanswered.since) > DETECTION_WINDOW {
             unanswered.targets.clear();
@@ -48,17 +48,21 @@
         if !unanswered.targets.contains(&target) {
             unanswered.targets.push(target);
         }
-        if unanswered.targets.len() >= MIN_UNRESPONSIVE_TARGETS {
-            unanswered.avoid_until = now + AVOID_DURATION;
+        if unanswered.targets.len() < MIN_UNRESPONSIVE_TARGETS {
+            return false;
         }
+        let is_new = unanswered.avoid_until == MonoTime::default();
+        unanswered.avoid_until = now + AVOID_DURATION;
+        is_new
     }
 
-    /// Records a response from any target of the zone.
-    pub(crate) fn record_response(&mut self, zone: &ZoneName) {
-        if let Some(unanswered) = self.zones.get_mut(zone) {
-            unanswered.targets.clear();
-            unanswered.avoid_until = MonoTime::default();
-        }
+    /// Records a response from any target of the zone; returns whether the zone was avoided.
+    pub(crate) fn record_response(&mut self, zone: &ZoneName) -> bool {
+        let Some(unanswered) = self.zones.get_mut(zone) else {
+            return false;
+        };
+        unanswered.targets.clear();
+        std::mem::take(&mut unanswered.avoid_until) > MonoTime::default()
     }
 
     /// Returns whether the zone is avoided.
--- a/crates/zinniadrift-runtime/src/steering/decision_log.rs
+++ b/crates/zinniadrift-runtime/src/steering/decision_log.rs
@@ -77,7 +77,7 @@
         Decision::Configured { .. } => 3,
         Decision::Congestion { .. } => 4,
         Decision::StoreReturned { .. } => 5,
-        Decision::Zone { .. } => 6,
+        Decision::Zone { .. } | Decision::ZoneSilent { .. } => 6,
         Decision::CapacityShare { .. } => 8,
         Decision::Refused { .. } => 9,
     }
@@ -189,6 +189,13 @@
         Decision::Reported { target, .. } => {
             tracing::info!(name = %target, "target no longer avoided because of reports");
         }
+        Decision::ZoneSilent {
+            zone,
+            avoided: true,
+        } => {
+            tracing::info!(%zone, "zone avoided; its targets do not respond to opening packets");
+        }
+        Decision::ZoneSilent { zone, .. } => tracing::info!(%zone, "zone responds again"),
         Decision::Congestion {
             target,
             limit: Some(limit),
