--- a/xtask/src/journal.rs
+++ b/xtask/src/journal.rs
@@ -24,7 +24,8 @@
     #[serde(rename = "G")]
     pub(crate) worth: Option<f64>,
     name: Box<str>,
-    seed: u64,
+    /// None for a day that was drawn for one run.
+    seed: Option<u64>,
     /// The share of requests that were refused.
     #[serde(default)]
     pub(crate) refused: f64,
@@ -37,7 +38,7 @@
 }
 
 /// The days of one variant on one site, by name and seed.
-pub(crate) type Days = BTreeMap<(Box<str>, u64), Day>;
+pub(crate) type Days = BTreeMap<(Box<str>, Option<u64>), Day>;
 
 /// The runs whose notes begin with one prefix, by the rest of the note and by site.
 #[derive(Debug, Default)]
@@ -77,7 +78,10 @@
         let Some(name) = why.and_then(|w| w.strip_prefix(prefix)) else {
             return;
         };
-        let site = entry.site.unwrap_or_default();
+        // A run that was ended early names no site.
+        let Some(site) = entry.site.filter(|_| !entry.days.is_empty()) else {
+            return;
+        };
         let sites = self.runs.entry(name.into()).or_default();
         let days = sites.entry(site).or_default();
         for day in entry.days {
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -29,7 +29,7 @@
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("xtask: {e}");
+            eprintln!("xtask: {}", snafu::Report::from_error(e));
             ExitCode::FAILURE
         }
     }
