--- a/crates/zinniadrift-core/src/lib.rs
+++ b/crates/zinniadrift-core/src/lib.rs
@@ -13,6 +13,7 @@
 //! ```
 
 mod number;
+mod ordered_map;
 
 pub mod balancer;
 pub mod claim;
--- a/crates/zinniadrift-core/src/steering/directory/target_directory.rs
+++ b/crates/zinniadrift-core/src/steering/directory/target_directory.rs
@@ -2,10 +2,10 @@
 use std::time::Duration;
 
 use hashbrown::{HashMap, HashSet};
-use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{ServiceId, ZoneName};
+use crate::ordered_map::OrderedMap;
 use crate::units::MonoTime;
 
 use crate::steering::directory::change_log::{ChangeLog, Coverage};
@@ -47,7 +47,7 @@
 pub struct Directory {
     as_of: Position,
     /// In the order in which the targets became known.
-    records: IndexMap<TargetIndex, TargetRecord>,
+    records: OrderedMap<TargetIndex, TargetRecord>,
     by_name: HashMap<Box<str>, TargetIndex>,
     /// All targets with a tag; more than one only after a hash collision.
     by_tag: HashMap<TargetTag, Vec<TargetIndex>>,
--- a/crates/zinniadrift-core/src/steering/observations/observation_table.rs
+++ b/crates/zinniadrift-core/src/steering/observations/observation_table.rs
@@ -1,7 +1,6 @@
 use std::time::Duration;
 
-use indexmap::IndexMap;
-
+use crate::ordered_map::OrderedMap;
 use crate::steering::directory::cookie::TargetTag;
 use crate::steering::observations::observation_report::ObservationReport;
 use crate::steering::observations::observed::{MAX_AGE, Observed};
@@ -18,13 +17,13 @@
 pub struct ObservationTable {
     id: ReporterId,
     is_relay: bool,
-    reports: IndexMap<ReporterId, Reporter>,
+    reports: OrderedMap<ReporterId, Reporter>,
     upstream: Upstream,
     /// This balancer's observations and those of the balancers behind it.
-    subtree: IndexMap<TargetTag, Observed>,
+    subtree: OrderedMap<TargetTag, Observed>,
     /// What was last reported of each target.
-    reported: IndexMap<TargetTag, (MonoTime, Observed)>,
-    entries: IndexMap<TargetTag, TableEntry>,
+    reported: OrderedMap<TargetTag, (MonoTime, Observed)>,
+    entries: OrderedMap<TargetTag, TableEntry>,
     seq: u64,
     /// The sequence number of the last change for which a waiting peer is answered early.
     alert_seq: u64,
@@ -48,14 +47,14 @@
     at: MonoTime,
     hops: u8,
     is_relay: bool,
-    targets: IndexMap<TargetTag, Observed>,
+    targets: OrderedMap<TargetTag, Observed>,
 }
 
 /// The table of the peer that this balancer requests updates from.
 #[derive(Clone, Debug, Default)]
 struct Upstream {
     mark: ObservationMark,
-    targets: IndexMap<TargetTag, Observed>,
+    targets: OrderedMap<TargetTag, Observed>,
 }
 
 /// A place in the sequence of changes of a balancer's table.
@@ -244,7 +243,7 @@
             at: now,
             hops: report.hops,
             is_relay: report.relay,
-            targets: IndexMap::new(),
+            targets: OrderedMap::default(),
         });
         reporter.at = now;
         reporter.hops = report.hops;
@@ -319,7 +318,7 @@
     pub(crate) fn refresh(
         &mut self,
         now: MonoTime,
-        own: IndexMap<TargetTag, Observed>,
+        own: OrderedMap<TargetTag, Observed>,
         suspicion_base: Duration,
     ) {
         self.last_refresh = Some(now);
@@ -366,7 +365,7 @@
 
     /// Replaces the subtree's observations by the peer's sums, which include what the subtree
     /// reported last.
-    fn add_upstream(&self, total: &mut IndexMap<TargetTag, Observed>) {
+    fn add_upstream(&self, total: &mut OrderedMap<TargetTag, Observed>) {
         for (target, above) in &self.upstream.targets {
             let Some(below) = total.get_mut(target) else {
                 total.insert(*target, *above);
@@ -540,8 +539,8 @@
 
 /// Adds the reports of the relays, or those of the balancers behind this one.
 fn add_reports(
-    sums: &mut IndexMap<TargetTag, Observed>,
-    reports: &IndexMap<ReporterId, Reporter>,
+    sums: &mut OrderedMap<TargetTag, Observed>,
+    reports: &OrderedMap<ReporterId, Reporter>,
     of_relays: bool,
 ) {
     for reporter in reports.values().filter(|r| r.is_relay == of_relays) {
--- a/crates/zinniadrift-core/src/steering/observations/sharing.rs
+++ b/crates/zinniadrift-core/src/steering/observations/sharing.rs
@@ -1,8 +1,7 @@
 use std::time::Duration;
 
-use indexmap::IndexMap;
-
 use crate::ids::ServiceId;
+use crate::ordered_map::OrderedMap;
 use crate::units::MonoTime;
 
 use crate::steering::directory::cookie::TargetTag;
@@ -128,8 +127,8 @@
     }
 
     fn refresh_observations(&mut self, now: MonoTime) {
-        let mut own: IndexMap<TargetTag, Observed> = IndexMap::new();
-        let mut services: IndexMap<ServiceId, Vec<(TargetTag, u16)>> = IndexMap::new();
+        let mut own: OrderedMap<TargetTag, Observed> = OrderedMap::default();
+        let mut services: OrderedMap<ServiceId, Vec<(TargetTag, u16)>> = OrderedMap::default();
         for record in self.directory.records_mut() {
             let outstanding = record.pending_opens + record.active_requests;
             if let Some(observed) = record.observed.observe(now, outstanding) {
@@ -198,7 +197,8 @@
     /// Chooses the reports of unresponsive targets that are believed: of each service at most half
     /// of the listed targets, those with the most witnesses.
     fn limit_belief(&mut self, now: MonoTime) {
-        let mut services: IndexMap<ServiceId, (usize, Vec<(u32, TargetTag)>)> = IndexMap::new();
+        let mut services: OrderedMap<ServiceId, (usize, Vec<(u32, TargetTag)>)> =
+            OrderedMap::default();
         for record in self.directory.records_mut() {
             if !record.accepts_new_flows() {
                 continue;
--- a/crates/zinniadrift-core/src/steering/routes/route_table.rs
+++ b/crates/zinniadrift-core/src/steering/routes/route_table.rs
@@ -1,9 +1,8 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use indexmap::IndexMap;
-
 use crate::ids::ServiceId;
+use crate::ordered_map::OrderedMap;
 use crate::units::Version;
 
 use crate::steering::{FlowRate, Route, ServiceWarmUp};
@@ -13,14 +12,14 @@
 pub struct RouteTable {
     version: Version,
     idle_timeout: Duration,
-    routes: IndexMap<SocketAddrV4, Route>,
+    routes: OrderedMap<SocketAddrV4, Route>,
     warm_ups: Vec<ServiceWarmUp>,
 }
 
 impl RouteTable {
     /// Returns a table of the routes; of several routes with one address, it has the first.
     pub fn new(version: Version, idle_timeout: Duration, routes: Vec<Route>) -> Self {
-        let mut by_address = IndexMap::with_capacity(routes.len());
+        let mut by_address = OrderedMap::with_capacity_and_hasher(routes.len(), Default::default());
         for route in routes {
             by_address.entry(route.address).or_insert(route);
         }
