Log the configuration's age and the evidence of a reset

A reset for want of a route or target rests on two times that the log did not show: when the configuration was last confirmed, and when the first unmatched packet arrived. Without them, a balancer that is behind looks the same as one whose memory is outdated.

--- a/crates/zinniadrift-core/src/steering/decision.rs
+++ b/crates/zinniadrift-core/src/steering/decision.rs
@@ -43,6 +43,11 @@
         directory_age: Option<Duration>,
         /// The configuration's version.
         version: Version,
+        /// The time since the configuration was last confirmed.
+        configuration_age: Option<Duration>,
+        /// The time since the first packet without a known route or target on which the reset is
+        /// based; `None` if it has another cause.
+        unmatched_for: Option<Duration>,
     },
     /// A new flow was refused because its route or caller has no room; its reset follows.
     Refused {
--- a/crates/zinniadrift-core/src/steering/directory/first_seen.rs
+++ b/crates/zinniadrift-core/src/steering/directory/first_seen.rs
@@ -31,6 +31,11 @@
         *self.first_seen.entry(key).or_insert(now)
     }
 
+    /// Returns when the first packet with `key` arrived; `None` if there was none.
+    pub(crate) fn get(&self, key: &K) -> Option<MonoTime> {
+        self.first_seen.get(key).copied()
+    }
+
     /// Removes the keys for which `keep` returns `false`.
     pub(crate) fn retain(&mut self, mut keep: impl FnMut(&K, MonoTime) -> bool) {
         self.first_seen.retain(|key, at| keep(key, *at));
--- a/crates/zinniadrift-core/src/steering/state_machine.rs
+++ b/crates/zinniadrift-core/src/steering/state_machine.rs
@@ -23,8 +23,8 @@
 use crate::steering::targets::zone_health::ZoneHealth;
 use crate::steering::{
     Decision, Directory, Era, HeldShare, PauseCount, Position, ProbeRequest, ReporterId,
-    RouteTable, Segment, SegmentKind, ShareLedger, SteeringCounters, SteeringSettings, SyncStatus,
-    Verdict, ZoneDrains,
+    ResetReason, RouteTable, Segment, SegmentKind, ShareLedger, SteeringCounters, SteeringSettings,
+    SyncStatus, Verdict, ZoneDrains,
 };
 
 /// Decides which target each packet goes to.
@@ -322,6 +322,19 @@
         }
     }
 
+    /// Returns the time since the first packet without a known route or target on which a reset is
+    /// based.
+    fn unmatched_for(&self, now: MonoTime, seg: &Segment, reason: ResetReason) -> Option<Duration> {
+        let since = match reason {
+            ResetReason::NoRoute => self.unknown_routes.get(&seg.flow.service)?,
+            ResetReason::UnknownCookie => self
+                .unknown_tags
+                .get(&seg.cookie.decode(seg.flow.service))?,
+            _ => return None,
+        };
+        Some(now.since(since))
+    }
+
     /// Returns the name of the target that the packet's cookie identifies.
     fn target_name(&self, seg: &Segment) -> Option<Box<str>> {
         let tag = seg.cookie.decode(seg.flow.service);
@@ -351,6 +364,8 @@
                     directory: self.directory.as_of(),
                     directory_age: self.directory_sync.age(now),
                     version: self.version(),
+                    configuration_age: self.routes_sync.age(now),
+                    unmatched_for: self.unmatched_for(now, seg, reason),
                 };
                 self.record_decision(decision);
             }
--- a/crates/zinniadrift-runtime/src/steering/decision_log.rs
+++ b/crates/zinniadrift-runtime/src/steering/decision_log.rs
@@ -114,6 +114,8 @@
             directory,
             directory_age,
             version,
+            configuration_age,
+            unmatched_for,
         } => tracing::info!(
             %flow,
             %reason,
@@ -121,6 +123,8 @@
             %directory,
             directory_age_ms = millis(*directory_age),
             %version,
+            configuration_age_ms = millis(*configuration_age),
+            unmatched_for_ms = millis(*unmatched_for),
             "flow reset"
         ),
         Decision::Refused {
