Reset a flow without a route only on evidence of the flow itself

Cause: the time of the first packet without a route was kept by service address, and packets that open flows set it too. Knowledge confirmed 2.5 s after it counted as newer than any later flow of the address, although it can be older than the flow.

The time is now kept by flow: a packet proves that its own flow existed at that time, and a configuration confirmed 2.5 s later without the route proves that the route was removed. A flow seen idle before counts from its last packet. Opening packets keep the time by address, which is forgotten when a configuration with the route comes into force.

--- a/crates/zinniadrift-core/src/steering/flows/open_flows.rs
+++ b/crates/zinniadrift-core/src/steering/flows/open_flows.rs
@@ -4,6 +4,7 @@
 
 use crate::steering::directory::cookie::TargetTag;
 use crate::steering::directory::target_directory::TargetIndex;
+use crate::steering::flows::tracked_flow::FlowPhase;
 use crate::steering::targets::target_record::{Presence, TargetRecord};
 use crate::steering::{
     Cookie, Decision, DropReason, ResetReason, Segment, SegmentKind, Steering, SyncStatus, Verdict,
@@ -12,7 +13,6 @@
 impl Steering {
     pub(in crate::steering) fn on_flow_packet(&mut self, now: MonoTime, seg: &Segment) -> Verdict {
         if self.routes.get(seg.flow.service).is_none() {
-            self.flows.remove(&mut self.directory, &seg.flow);
             return self.handle_missing_route(now, seg);
         }
         if seg.cookie == Cookie::NONE {
@@ -48,21 +48,36 @@
         is_dead.then_some(ResetReason::TargetSilent)
     }
 
-    pub(in crate::steering) fn handle_missing_route(
+    /// Refuses an opening packet for a service address without a route, once its absence was
+    /// confirmed after the first such packet.
+    pub(in crate::steering) fn refuse_without_route(
         &mut self,
         now: MonoTime,
         seg: &Segment,
     ) -> Verdict {
+        self.flows_without_route.remove(&seg.flow);
         let since = self.unknown_routes.since(seg.flow.service, now);
-        let margin = match seg.kind {
-            SegmentKind::Open { .. } => Duration::ZERO,
-            // Another balancer may have opened the flow on a route that is not known here yet.
-            _ => self.cfg.lapse_grace,
-        };
+        if self.confirmed_after(&self.routes_sync, now, since) {
+            return reset(seg, ResetReason::NoRoute);
+        }
+        Verdict::Drop(DropReason::RouteUnknown)
+    }
+
+    /// Ends a flow whose service address has no route, once that is certain.
+    ///
+    /// Another balancer may have opened the flow on a route that is not known here yet, even if the
+    /// same address had no route before. The route has been removed only if the configuration was
+    /// confirmed after the flow existed.
+    fn handle_missing_route(&mut self, now: MonoTime, seg: &Segment) -> Verdict {
+        let tracked = self.flows.remove(&mut self.directory, &seg.flow);
         if seg.kind == SegmentKind::Reset {
             return Verdict::Drop(DropReason::NothingToReset);
         }
-        if self.confirmed_after(&self.routes_sync, now, since + margin) {
+        // A request that was sent before the removal may still get its response.
+        let idle = tracked.filter(|f| f.phase == FlowPhase::Idle);
+        let known_at = idle.map_or(now, |f| f.last_seen);
+        let since = self.flows_without_route.since(seg.flow, known_at);
+        if self.confirmed_after(&self.routes_sync, now, since + self.cfg.lapse_grace) {
             return reset(seg, ResetReason::NoRoute);
         }
         Verdict::Drop(DropReason::RouteUnknown)
--- a/crates/zinniadrift-core/src/steering/placement/placing.rs
+++ b/crates/zinniadrift-core/src/steering/placement/placing.rs
@@ -48,7 +48,7 @@
         self.supersede(&seg.flow);
         let routes = Arc::clone(&self.routes);
         let Some(route) = routes.get(seg.flow.service) else {
-            return self.handle_missing_route(now, seg);
+            return self.refuse_without_route(now, seg);
         };
         self.record_overdue_opens(now);
         let unanswered = self.unanswered_target(now, seg, retransmissions);
--- a/crates/zinniadrift-core/src/steering/state_machine.rs
+++ b/crates/zinniadrift-core/src/steering/state_machine.rs
@@ -6,6 +6,7 @@
 use rand::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
 
+use crate::flow::FlowKey;
 use crate::ids::ServiceId;
 use crate::units::{MonoTime, Version};
 
@@ -56,7 +57,10 @@
     pub(super) share_ledger: ShareLedger,
     pub(super) warm_up_limits: WarmUpLimits,
     pub(super) unknown_tags: FirstSeen<TargetTag>,
+    /// When opening packets first arrived for service addresses without a route.
     pub(super) unknown_routes: FirstSeen<SocketAddrV4>,
+    /// When packets first arrived of flows whose service address has no route.
+    pub(super) flows_without_route: FirstSeen<FlowKey>,
     /// The median response time of each service in microseconds.
     pub(super) median_response_us: HashMap<ServiceId, f32>,
     pub(super) next_sweep: MonoTime,
@@ -85,6 +89,8 @@
 /// The time for which opening packets wait for the drained zones to be read again after a pause of
 /// the process: callers retransmit them after it.
 const PAUSE_PATIENCE: Duration = Duration::from_millis(200);
+/// The maximum number of service addresses, and of tags, whose absence is remembered.
+const UNKNOWN_CAPACITY: usize = 4_096;
 /// The interval of periodic maintenance.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// The maximum number of decisions kept between two calls of `take_decisions`.
@@ -95,6 +101,7 @@
     pub fn new(cfg: SteeringSettings, seed: u64) -> Self {
         Self {
             flows: FlowTracker::new(cfg.tracked_flows),
+            flows_without_route: FirstSeen::new(cfg.tracked_flows),
             cfg,
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             directory: Directory::default(),
@@ -113,8 +120,8 @@
             held_share: HeldShare::default(),
             share_ledger: ShareLedger::default(),
             warm_up_limits: WarmUpLimits::default(),
-            unknown_tags: FirstSeen::new(),
-            unknown_routes: FirstSeen::new(),
+            unknown_tags: FirstSeen::new(UNKNOWN_CAPACITY),
+            unknown_routes: FirstSeen::new(UNKNOWN_CAPACITY),
             median_response_us: HashMap::new(),
             next_sweep: MonoTime::default(),
             last_tick: MonoTime::default(),
@@ -287,7 +294,9 @@
             .retain(|tag, at| directory.find_by_tag(*tag).is_none() && now.since(at) < retention);
         let routes = Arc::clone(&self.routes);
         self.unknown_routes
-            .retain(|address, at| routes.get(*address).is_none() && now.since(at) < retention);
+            .retain(|_, at| now.since(at) < retention);
+        self.flows_without_route
+            .retain(|_, at| now.since(at) < retention);
         self.sweep_zone_drains(now);
         self.sweep_warm_up(now);
         self.room.retain_routes(&routes);
@@ -326,7 +335,10 @@
     /// based.
     fn unmatched_for(&self, now: MonoTime, seg: &Segment, reason: ResetReason) -> Option<Duration> {
         let since = match reason {
-            ResetReason::NoRoute => self.unknown_routes.get(&seg.flow.service)?,
+            ResetReason::NoRoute => match seg.kind {
+                SegmentKind::Open { .. } => self.unknown_routes.get(&seg.flow.service)?,
+                _ => self.flows_without_route.get(&seg.flow)?,
+            },
             ResetReason::UnknownCookie => self
                 .unknown_tags
                 .get(&seg.cookie.decode(seg.flow.service))?,
--- a/crates/zinniadrift-core/src/steering/sync/updates.rs
+++ b/crates/zinniadrift-core/src/steering/sync/updates.rs
@@ -275,6 +275,10 @@
             .retain(|address, _| table.get(*address).is_some());
         self.gate
             .retain_routes(|address| table.get(address).is_some());
+        self.unknown_routes
+            .retain(|address, _| table.get(*address).is_none());
+        self.flows_without_route
+            .retain(|flow, _| table.get(flow.service).is_none());
         self.route_history.push(Arc::clone(&table));
         self.routes = table;
     }
--- a/tests/testsuite/steering/configuration.rs
+++ b/tests/testsuite/steering/configuration.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use zinniadrift_core::steering::{DirectoryListing, ResetReason, RouteKind, Verdict};
+use zinniadrift_core::steering::{DirectoryListing, DropReason, ResetReason, RouteKind, Verdict};
 
 use super::world::{
     CERTIFICATE, STREAM, World, forwarded, reset_reason, route, standard_routes, table, target,
@@ -89,6 +89,87 @@
     assert_eq!(forwarded(w.send(1_000, NEW_ADDRESS, cookie)), to);
 }
 
+/// Returns a balancer that has refused flows of a removed route for seconds, and another one on which
+/// the route is back.
+fn returned_route() -> (World, World) {
+    let mut w = World::new(1, vec![target(1)]);
+    let mut other = World::new(2, vec![target(1)]);
+    let (_, dropped) = w.establish(1_000, CERTIFICATE);
+    w.configure(2, vec![route(STREAM, RouteKind::Idempotent)]);
+    w.open(1_001, CERTIFICATE, 0);
+    w.send(1_000, CERTIFICATE, dropped);
+    w.advance(3_000);
+    let verdict = w.send(1_000, CERTIFICATE, dropped);
+    assert_eq!(reset_reason(verdict), Some(ResetReason::NoRoute));
+    other.now = w.now;
+    other.configure(3, standard_routes());
+    (w, other)
+}
+
+/// Guards against resets of flows that were opened after a removed route had returned, by a balancer
+/// that does not know of the return yet and remembers packets from before it (review/3).
+#[test]
+fn flow_of_returned_route_is_not_reset() {
+    let (mut w, mut other) = returned_route();
+    let (to, cookie) = other.establish(2_000, CERTIFICATE);
+    for _ in 0..20 {
+        w.advance_without_store(100);
+        let verdict = w.send(2_000, CERTIFICATE, cookie);
+        assert_eq!(verdict, Verdict::Drop(DropReason::RouteUnknown));
+    }
+    w.configure(3, standard_routes());
+    assert_eq!(forwarded(w.send(2_000, CERTIFICATE, cookie)), to);
+}
+
+/// Guards against resets of a flow of a returned route because an earlier flow had the same address
+/// and port.
+#[test]
+fn reopened_flow_of_returned_route_is_not_reset() {
+    let (mut w, mut other) = returned_route();
+    w.advance_without_store(7_000);
+    let verdict = w.open(1_000, CERTIFICATE, 0);
+    assert_eq!(verdict, Verdict::Drop(DropReason::RouteUnknown));
+    let as_of = w.next_revision();
+    w.core.confirm_routes(w.now, as_of);
+    // The retransmission reaches a balancer that knows of the return.
+    w.advance_without_store(200);
+    let (_, cookie) = other.establish(1_000, CERTIFICATE);
+    let verdict = w.send(1_000, CERTIFICATE, cookie);
+    assert_eq!(verdict, Verdict::Drop(DropReason::RouteUnknown));
+}
+
+/// Guards against remembering a route as missing that was back in between two periodic checks.
+#[test]
+fn short_return_of_a_route_restarts_its_absence() {
+    let (mut w, _) = returned_route();
+    let verdict = w.open(3_000, CERTIFICATE, 0);
+    assert_eq!(reset_reason(verdict), Some(ResetReason::NoRoute));
+    w.configure(3, standard_routes());
+    w.configure(4, vec![route(STREAM, RouteKind::Idempotent)]);
+    w.advance_clock(10);
+    let verdict = w.open(3_001, CERTIFICATE, 0);
+    assert_eq!(verdict, Verdict::Drop(DropReason::RouteUnknown));
+    w.advance(100);
+    let verdict = w.open(3_001, CERTIFICATE, 1);
+    assert_eq!(reset_reason(verdict), Some(ResetReason::NoRoute));
+}
+
+/// Guards against callers that wait although their flow is known from before the removal of its
+/// route, and against cutting off the response to a request that was sent before it.
+#[test]
+fn idle_flow_of_removed_route_is_reset_at_once() {
+    let mut w = World::new(1, vec![target(1)]);
+    let (_, idle) = w.establish(1_000, CERTIFICATE);
+    let (_, busy) = w.establish(1_001, CERTIFICATE);
+    w.request(1_001, CERTIFICATE, busy, 1);
+    w.advance(3_000);
+    w.configure(2, vec![route(STREAM, RouteKind::Idempotent)]);
+    let verdict = w.send(1_000, CERTIFICATE, idle);
+    assert_eq!(reset_reason(verdict), Some(ResetReason::NoRoute));
+    let verdict = w.send(1_001, CERTIFICATE, busy);
+    assert_eq!(verdict, Verdict::Drop(DropReason::RouteUnknown));
+}
+
 /// Guards against resets of new flows on a route that was just added: until the store confirms that
 /// there is no route, the packet is dropped, and the caller retransmits it.
 #[test]
