Reset a flow with an unknown cookie only on evidence of the flow itself

Cause: the time of the first packet with an unknown cookie was kept by the target's tag, which a later run under the same name shares. The time is now kept by flow and tag.

steering::cookies::flow_of_restarted_target_is_not_reset failed before (left: Reset UnknownCookie, right: Drop DirectoryStale).

--- a/crates/zinniadrift-core/src/steering/flows/open_flows.rs
+++ b/crates/zinniadrift-core/src/steering/flows/open_flows.rs
@@ -87,9 +87,9 @@
         if seg.kind == SegmentKind::Reset {
             return Verdict::Drop(DropReason::NothingToReset);
         }
-        let since = self.unknown_tags.since(tag, now);
-        let certain_at = since + self.cfg.lapse_grace;
-        if self.confirmed_after(&self.directory_sync, now, certain_at) {
+        // A target of this name may have started again, so that only packets of this flow count.
+        let since = self.flows_without_target.since((seg.flow, tag), now);
+        if self.confirmed_after(&self.directory_sync, now, since + self.cfg.lapse_grace) {
             return reset(seg, ResetReason::UnknownCookie);
         }
         Verdict::Drop(DropReason::DirectoryStale)
--- a/crates/zinniadrift-core/src/steering/state_machine.rs
+++ b/crates/zinniadrift-core/src/steering/state_machine.rs
@@ -56,7 +56,8 @@
     pub(super) held_share: HeldShare,
     pub(super) share_ledger: ShareLedger,
     pub(super) warm_up_limits: WarmUpLimits,
-    pub(super) unknown_tags: FirstSeen<TargetTag>,
+    /// When packets first arrived of flows whose cookie names no known target.
+    pub(super) flows_without_target: FirstSeen<(FlowKey, TargetTag)>,
     /// When opening packets first arrived for service addresses without a route.
     pub(super) unknown_routes: FirstSeen<SocketAddrV4>,
     /// When packets first arrived of flows whose service address has no route.
@@ -89,7 +90,7 @@
 /// The time for which opening packets wait for the drained zones to be read again after a pause of
 /// the process: callers retransmit them after it.
 const PAUSE_PATIENCE: Duration = Duration::from_millis(200);
-/// The maximum number of service addresses, and of tags, whose absence is remembered.
+/// The maximum number of service addresses whose absence is remembered.
 const UNKNOWN_CAPACITY: usize = 4_096;
 /// The interval of periodic maintenance.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
@@ -102,6 +103,7 @@
         Self {
             flows: FlowTracker::new(cfg.tracked_flows),
             flows_without_route: FirstSeen::new(cfg.tracked_flows),
+            flows_without_target: FirstSeen::new(cfg.tracked_flows),
             cfg,
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             directory: Directory::default(),
@@ -120,7 +122,6 @@
             held_share: HeldShare::default(),
             share_ledger: ShareLedger::default(),
             warm_up_limits: WarmUpLimits::default(),
-            unknown_tags: FirstSeen::new(UNKNOWN_CAPACITY),
             unknown_routes: FirstSeen::new(UNKNOWN_CAPACITY),
             median_response_us: HashMap::new(),
             next_sweep: MonoTime::default(),
@@ -290,8 +291,9 @@
         self.flows
             .sweep(&mut self.directory, &self.routes, now, lifetime);
         let directory = &self.directory;
-        self.unknown_tags
-            .retain(|tag, at| directory.find_by_tag(*tag).is_none() && now.since(at) < retention);
+        self.flows_without_target.retain(|(_, tag), at| {
+            directory.find_by_tag(*tag).is_none() && now.since(at) < retention
+        });
         let routes = Arc::clone(&self.routes);
         self.unknown_routes
             .retain(|_, at| now.since(at) < retention);
@@ -339,9 +341,10 @@
                 SegmentKind::Open { .. } => self.unknown_routes.get(&seg.flow.service)?,
                 _ => self.flows_without_route.get(&seg.flow)?,
             },
-            ResetReason::UnknownCookie => self
-                .unknown_tags
-                .get(&seg.cookie.decode(seg.flow.service))?,
+            ResetReason::UnknownCookie => {
+                let tag = seg.cookie.decode(seg.flow.service);
+                self.flows_without_target.get(&(seg.flow, tag))?
+            }
             _ => return None,
         };
         Some(now.since(since))
--- a/tests/testsuite/steering/cookies.rs
+++ b/tests/testsuite/steering/cookies.rs
@@ -84,6 +84,29 @@
     assert_eq!(reset_reason(verdict), Some(ResetReason::UnknownCookie));
 }
 
+/// Guards against resets of flows to a target that started again under its name, by a balancer that
+/// does not know of the start yet and remembers packets of flows to the former run (the form of
+/// review/3).
+#[test]
+fn flow_of_restarted_target_is_not_reset() {
+    let mut w = World::new(1, vec![target(1)]);
+    let mut other = World::new(2, vec![target(2)]);
+    let (_, former) = other.establish(1_000, STREAM);
+    assert!(matches!(w.send(1_000, STREAM, former), Verdict::Drop(_)));
+    w.advance(3_000);
+    let verdict = w.send(1_000, STREAM, former);
+    assert_eq!(reset_reason(verdict), Some(ResetReason::UnknownCookie));
+    // The target starts again; a flow that the other balancer opened moves to this one.
+    let (to, cookie) = other.establish(2_000, STREAM);
+    for _ in 0..20 {
+        w.advance_without_store(100);
+        let verdict = w.send(2_000, STREAM, cookie);
+        assert_eq!(verdict, Verdict::Drop(DropReason::DirectoryStale));
+    }
+    w.put(target(2));
+    assert_eq!(forwarded(w.send(2_000, STREAM, cookie)), to);
+}
+
 /// Guards against placing flows on both of two targets whose tags collide.
 #[test]
 fn second_target_with_same_tag_gets_no_flow() {
