Reset flows to an ended target only if they are older than its end

Callers could see flows reset that had been opened at a target after its entry had lapsed and come back: a balancer that did not know of the return yet still counted the target as gone.

The flows that are known when a target ends are noted and reset as before; any other flow is forwarded until the store confirms the end 2.5 s after its first packet here.

steering::ended_targets::flow_to_returned_target_is_not_reset, ::unseen_flow_of_ended_target_is_reset_after_confirmation and ::flow_of_a_return_during_the_grace_is_not_reset failed before (not forwarded: Reset TargetGone).

--- a/crates/zinniadrift-core/src/steering/directory/target_directory.rs
+++ b/crates/zinniadrift-core/src/steering/directory/target_directory.rs
@@ -292,8 +292,8 @@
         record.presence = Presence::Lapsed { at: now };
     }
 
-    /// Marks lapsed targets as gone once that is certain, and deletes targets that ended more than
-    /// `retention` ago.
+    /// Marks lapsed targets as gone once that is certain and returns them, and deletes targets that
+    /// ended more than `retention` ago.
     ///
     /// A target counts as gone when it has been missing for `grace` and the store has confirmed the
     /// list at least that long after it went missing.
@@ -303,20 +303,22 @@
         confirmed: Option<MonoTime>,
         grace: Duration,
         retention: Duration,
-    ) {
-        let mut expired = Vec::new();
+    ) -> Vec<TargetIndex> {
+        let (mut gone, mut expired) = (Vec::new(), Vec::new());
         for (&index, record) in &mut self.records {
-            match record.presence {
-                Presence::Lapsed { at } if confirmed.is_some_and(|c| c >= at + grace) => {
-                    record.presence = Presence::Gone { at: now };
+            match (record.presence, confirmed) {
+                (Presence::Lapsed { at }, Some(confirmed)) if confirmed >= at + grace => {
+                    record.presence = Presence::Gone { at: now, confirmed };
+                    gone.push(index);
                 }
-                Presence::Gone { at } if now >= at + retention => expired.push(index),
+                (Presence::Gone { at, .. }, _) if now >= at + retention => expired.push(index),
                 _ => {}
             }
         }
         for index in expired {
             self.delete(index);
         }
+        gone
     }
 
     fn delete(&mut self, index: TargetIndex) {
--- a/crates/zinniadrift-core/src/steering/flows/flow_tracker.rs
+++ b/crates/zinniadrift-core/src/steering/flows/flow_tracker.rs
@@ -287,6 +287,16 @@
         Some(flow.summary())
     }
 
+    /// Returns the flows to `target` that are not closed, each with the time of its last packet.
+    pub(crate) fn to_target(
+        &self,
+        target: TargetIndex,
+    ) -> impl Iterator<Item = (FlowKey, MonoTime)> + '_ {
+        let open = move |f: &TrackedFlow| f.target == target && f.phase != FlowPhase::Closed;
+        let flows = self.flows.iter().filter(move |(_, f)| open(f));
+        flows.map(|(key, f)| (*key, f.last_seen))
+    }
+
     /// Closes the flows that await a response of `target`; returns each with its last
     /// acknowledgement, sorted by flow.
     pub(crate) fn close_awaiting(
--- a/crates/zinniadrift-core/src/steering/flows/open_flows.rs
+++ b/crates/zinniadrift-core/src/steering/flows/open_flows.rs
@@ -22,6 +22,10 @@
         let Some(index) = self.directory.find_by_tag(tag) else {
             return self.handle_unknown_cookie(now, seg, tag);
         };
+        if self.may_have_returned(now, seg, tag, index) {
+            self.counters.forwarded_lapsed += 1;
+            return self.forward(seg, index);
+        }
         if let Some(reason) = self.end_reason(index) {
             self.end_flow(seg);
             return match seg.kind {
@@ -38,6 +42,35 @@
         self.forward(seg, index)
     }
 
+    /// Remembers when the flows of a target that has ended were last seen.
+    pub(in crate::steering) fn remember_flows(&mut self, index: TargetIndex) {
+        let Some(record) = self.directory.get(index) else {
+            return;
+        };
+        for (flow, last_seen) in self.flows.to_target(index) {
+            let key = (flow, record.tag);
+            self.flows_without_target.since(key, last_seen);
+        }
+    }
+
+    /// Returns whether the flow's target counts as gone and the flow may have been opened after the
+    /// target returned, which other balancers may know earlier.
+    fn may_have_returned(
+        &mut self,
+        now: MonoTime,
+        seg: &Segment,
+        tag: TargetTag,
+        index: TargetIndex,
+    ) -> bool {
+        let presence = self.directory.get(index).map(|r| r.presence);
+        let Some(Presence::Gone { confirmed, .. }) = presence else {
+            return false;
+        };
+        let since = self.flows_without_target.since((seg.flow, tag), now);
+        let certain_at = since + self.cfg.lapse_grace;
+        since > confirmed && !self.confirmed_after(&self.directory_sync, now, certain_at)
+    }
+
     /// Returns why flows of the target have to end, or `None` if the target may be alive.
     fn end_reason(&self, index: TargetIndex) -> Option<ResetReason> {
         let record = self.directory.get(index)?;
--- a/crates/zinniadrift-core/src/steering/state_machine.rs
+++ b/crates/zinniadrift-core/src/steering/state_machine.rs
@@ -20,6 +20,7 @@
 use crate::steering::refusals::ResponseSize;
 use crate::steering::routes::route_history::RouteHistory;
 use crate::steering::routes::route_profile::RouteProfile;
+use crate::steering::targets::target_record::Presence;
 use crate::steering::targets::warm_up_limit::WarmUpLimits;
 use crate::steering::targets::zone_health::ZoneHealth;
 use crate::steering::{
@@ -56,7 +57,8 @@
     pub(super) held_share: HeldShare,
     pub(super) share_ledger: ShareLedger,
     pub(super) warm_up_limits: WarmUpLimits,
-    /// When packets first arrived of flows whose cookie names no known target.
+    /// When packets first arrived of flows whose cookie names no known target, or one that has
+    /// ended; of a flow that was known before the end, when its last packet arrived.
     pub(super) flows_without_target: FirstSeen<(FlowKey, TargetTag)>,
     /// When opening packets first arrived for service addresses without a route.
     pub(super) unknown_routes: FirstSeen<SocketAddrV4>,
@@ -286,13 +288,18 @@
         self.next_sweep = now + SWEEP_INTERVAL;
         let confirmed = self.directory_sync.age(now).map(|age| now - age);
         let (grace, retention) = (self.cfg.lapse_grace, self.cfg.flow_lifetime);
-        self.directory.sweep(now, confirmed, grace, retention);
+        let gone = self.directory.sweep(now, confirmed, grace, retention);
+        for index in gone {
+            self.remember_flows(index);
+        }
         let lifetime = self.cfg.flow_lifetime;
         self.flows
             .sweep(&mut self.directory, &self.routes, now, lifetime);
         let directory = &self.directory;
         self.flows_without_target.retain(|(_, tag), at| {
-            directory.find_by_tag(*tag).is_none() && now.since(at) < retention
+            let target = directory.find_by_tag(*tag).and_then(|i| directory.get(i));
+            target.is_none_or(|r| matches!(r.presence, Presence::Gone { .. }))
+                && now.since(at) < retention
         });
         let routes = Arc::clone(&self.routes);
         self.unknown_routes
@@ -341,7 +348,7 @@
                 SegmentKind::Open { .. } => self.unknown_routes.get(&seg.flow.service)?,
                 _ => self.flows_without_route.get(&seg.flow)?,
             },
-            ResetReason::UnknownCookie => {
+            ResetReason::UnknownCookie | ResetReason::TargetGone => {
                 let tag = seg.cookie.decode(seg.flow.service);
                 self.flows_without_target.get(&(seg.flow, tag))?
             }
--- a/crates/zinniadrift-core/src/steering/targets/probing.rs
+++ b/crates/zinniadrift-core/src/steering/targets/probing.rs
@@ -102,10 +102,16 @@
         let has_left_address = matches!(result, ProbeResult::Refused | ProbeResult::AddressReused);
         let has_ended = is_lapsed && has_left_address;
         if has_ended {
-            record.presence = Presence::Gone { at: now };
+            record.presence = Presence::Gone {
+                at: now,
+                confirmed: now,
+            };
         }
         let newly_dead = record.liveness.on_probe(credible_result) || has_ended;
         let dead = record.liveness.is_dead() || has_ended;
+        if has_ended {
+            self.remember_flows(index);
+        }
         self.record_decision(Decision::Probed {
             target: name.into(),
             result,
--- a/crates/zinniadrift-core/src/steering/targets/target_record.rs
+++ b/crates/zinniadrift-core/src/steering/targets/target_record.rs
@@ -37,6 +37,8 @@
     Gone {
         /// When its end became certain.
         at: MonoTime,
+        /// When the state that showed its end was current.
+        confirmed: MonoTime,
     },
 }
 
--- a/tests/testsuite/steering/ended_targets.rs
+++ b/tests/testsuite/steering/ended_targets.rs
@@ -146,6 +146,64 @@
     assert!(reached.into_iter().any(|to| to == target(1).address));
 }
 
+/// Returns a balancer for which target 1 has ended, and another one that knows of its return.
+fn returned_target() -> (World, World) {
+    let mut w = World::new(1, vec![target(1), target(2)]);
+    w.remove(1);
+    w.advance(4_000);
+    let mut other = World::new(2, vec![target(1)]);
+    other.now = w.now;
+    (w, other)
+}
+
+/// Guards against resets of flows that were opened at a target after its entry had returned, by a
+/// balancer that does not know of the return yet (the form of review/3).
+#[test]
+fn flow_to_returned_target_is_not_reset() {
+    let (mut w, mut other) = returned_target();
+    let (to, cookie) = other.establish(2_000, STREAM);
+    for _ in 0..20 {
+        w.advance_without_store(100);
+        assert_eq!(forwarded(w.send(2_000, STREAM, cookie)), to);
+    }
+    w.put(target(1));
+    w.advance(5_000);
+    assert_eq!(forwarded(w.send(2_000, STREAM, cookie)), to);
+}
+
+/// Guards against flows that hang at a target that has ended although no packet of them arrived
+/// here before its end.
+#[test]
+fn unseen_flow_of_ended_target_is_reset_after_confirmation() {
+    let (mut w, mut other) = returned_target();
+    let (to, cookie) = other.establish(2_000, STREAM);
+    assert_eq!(forwarded(w.send(2_000, STREAM, cookie)), to);
+    w.advance(3_000);
+    let verdict = w.send(2_000, STREAM, cookie);
+    assert_eq!(reset_reason(verdict), Some(ResetReason::TargetGone));
+}
+
+/// Guards against counting the last packets before the end of a target became certain as older than
+/// the state that showed it.
+#[test]
+fn flow_of_a_return_during_the_grace_is_not_reset() {
+    let mut w = World::new(1, vec![target(1), target(2)]);
+    w.remove(1);
+    w.advance(2_400);
+    let mut other = World::new(2, vec![target(1)]);
+    other.now = w.now;
+    w.advance_clock(110);
+    w.confirm();
+    w.advance_clock(10);
+    // The entry is back, and a flow arrives before the periodic check declares the target gone.
+    let (to, cookie) = other.establish(2_000, STREAM);
+    assert_eq!(forwarded(w.send(2_000, STREAM, cookie)), to);
+    for _ in 0..20 {
+        w.advance_without_store(100);
+        assert_eq!(forwarded(w.send(2_000, STREAM, cookie)), to);
+    }
+}
+
 /// Guards against applying observations of a target's former run after its restart.
 #[test]
 fn restart_clears_observations() {
