--- a/crates/zinniadrift-core/src/steering/decision.rs
+++ b/crates/zinniadrift-core/src/steering/decision.rs
@@ -118,6 +118,8 @@
         target: Box<str>,
         /// The result of the probe.
         result: ProbeResult,
+        /// The name of the target that has taken over its address, if one has.
+        owner: Option<Box<str>>,
         /// Whether the target now counts as dead.
         dead: bool,
     },
--- a/crates/zinniadrift-core/src/steering/directory/target_directory.rs
+++ b/crates/zinniadrift-core/src/steering/directory/target_directory.rs
@@ -358,15 +358,12 @@
         dead * 2 > listed
     }
 
-    /// Returns whether a target that became known later is listed at the same address.
-    pub(crate) fn is_address_reused(&self, index: TargetIndex) -> bool {
-        let Some(record) = self.get(index) else {
-            return false;
-        };
-        let address = record.instance.address;
-        self.records.iter().any(|(other, r)| {
-            *other > index && r.presence.is_listed() && r.instance.address == address
-        })
+    /// Returns the target that is listed at the same address and became known later.
+    pub(crate) fn new_owner(&self, index: TargetIndex) -> Option<&TargetRecord> {
+        let address = self.get(index)?.instance.address;
+        let mut later = self.records.iter().filter(|(other, _)| **other > index);
+        let owns = |r: &TargetRecord| r.presence.is_listed() && r.instance.address == address;
+        later.find(|(_, r)| owns(r)).map(|(_, r)| r)
     }
 
     /// Returns whether the target died and its address has a new owner, which accepts connections
@@ -375,7 +372,7 @@
         let died_since_response = self
             .get(index)
             .is_some_and(|r| r.liveness.died_since_response());
-        died_since_response && self.is_address_reused(index)
+        died_since_response && self.new_owner(index).is_some()
     }
 
     /// Returns the listed targets that count as dead.
--- a/crates/zinniadrift-core/src/steering/targets/probing.rs
+++ b/crates/zinniadrift-core/src/steering/targets/probing.rs
@@ -79,10 +79,10 @@
         let Some(index) = self.directory.find_by_name(name) else {
             return Vec::new();
         };
+        let owner = self.directory.new_owner(index);
+        let owner = owner.map(|r| r.instance.name.clone());
         let result = match result {
-            ProbeResult::Accepted if self.directory.is_address_reused(index) => {
-                ProbeResult::AddressReused
-            }
+            ProbeResult::Accepted if owner.is_some() => ProbeResult::AddressReused,
             other => other,
         };
         let is_isolated = now.since(self.last_response) > ISOLATION_TIMEOUT;
@@ -115,6 +115,7 @@
         self.record_decision(Decision::Probed {
             target: name.into(),
             result,
+            owner,
             dead,
         });
         if !newly_dead {
--- a/crates/zinniadrift-runtime/src/steering/decision_log.rs
+++ b/crates/zinniadrift-runtime/src/steering/decision_log.rs
@@ -183,8 +183,11 @@
         Decision::Probed {
             target,
             result,
+            owner,
             dead,
-        } => tracing::info!(name = %target, %result, dead, "target probed"),
+        } => {
+            tracing::info!(name = %target, %result, owner = owner.as_deref(), dead, "target probed");
+        }
         Decision::Reported {
             target,
             avoided: true,
