Count only targets of the configuration's services as owners of an address

Cause: an accepted probe counts as failed if a later entry has the same address, since a next owner would accept it too. Any entry counted, also one of a service that the configuration does not have, which names no target.

The configuration's services are now part of the route table and pass between balancers with the routes, when they change (fixed32 each; a build that does not send them counts every service, as before). Only an entry of one of them takes over an address.

--- a/crates/zinniadrift-core/src/steering/directory/target_directory.rs
+++ b/crates/zinniadrift-core/src/steering/directory/target_directory.rs
@@ -11,7 +11,7 @@
 use crate::steering::directory::change_log::{ChangeLog, Coverage};
 use crate::steering::directory::cookie::TargetTag;
 use crate::steering::targets::target_record::{Presence, TargetRecord};
-use crate::steering::{DirectoryListing, Position, TargetInstance};
+use crate::steering::{DirectoryListing, Position, RouteTable, TargetInstance};
 
 /// A change of the store's list of targets.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -359,20 +359,31 @@
     }
 
     /// Returns the target that is listed at the same address and became known later.
-    pub(crate) fn new_owner(&self, index: TargetIndex) -> Option<&TargetRecord> {
+    ///
+    /// Entries of services that the configuration does not have name no target: anyone may write
+    /// one, with any address.
+    pub(crate) fn new_owner(
+        &self,
+        index: TargetIndex,
+        routes: &RouteTable,
+    ) -> Option<&TargetRecord> {
         let address = self.get(index)?.instance.address;
         let mut later = self.records.iter().filter(|(other, _)| **other > index);
-        let owns = |r: &TargetRecord| r.presence.is_listed() && r.instance.address == address;
+        let owns = |r: &TargetRecord| {
+            r.presence.is_listed()
+                && r.instance.address == address
+                && routes.has_service(r.instance.service)
+        };
         later.find(|(_, r)| owns(r)).map(|(_, r)| r)
     }
 
     /// Returns whether the target died and its address has a new owner, which accepts connections
     /// there and ignores packets meant for the dead target.
-    pub(crate) fn is_dead_and_replaced(&self, index: TargetIndex) -> bool {
+    pub(crate) fn is_dead_and_replaced(&self, index: TargetIndex, routes: &RouteTable) -> bool {
         let died_since_response = self
             .get(index)
             .is_some_and(|r| r.liveness.died_since_response());
-        died_since_response && self.new_owner(index).is_some()
+        died_since_response && self.new_owner(index, routes).is_some()
     }
 
     /// Returns the listed targets that count as dead.
--- a/crates/zinniadrift-core/src/steering/flows/open_flows.rs
+++ b/crates/zinniadrift-core/src/steering/flows/open_flows.rs
@@ -77,7 +77,8 @@
         if matches!(record.presence, Presence::Gone { .. }) {
             return Some(ResetReason::TargetGone);
         }
-        let is_dead = record.liveness.is_dead() || self.directory.is_dead_and_replaced(index);
+        let is_replaced = self.directory.is_dead_and_replaced(index, &self.routes);
+        let is_dead = record.liveness.is_dead() || is_replaced;
         is_dead.then_some(ResetReason::TargetSilent)
     }
 
--- a/crates/zinniadrift-core/src/steering/placement/eligibility.rs
+++ b/crates/zinniadrift-core/src/steering/placement/eligibility.rs
@@ -93,7 +93,7 @@
         if !self.directory.owns_tag(index) {
             return Eligibility::Excluded(Exclusion::TagCollision);
         }
-        if self.directory.is_dead_and_replaced(index) {
+        if self.directory.is_dead_and_replaced(index, &self.routes) {
             return Eligibility::Excluded(Exclusion::DeadAndReplaced);
         }
         if req.has_drained_zones && self.zone_drains.is_drained(&record.instance.zone) {
--- a/crates/zinniadrift-core/src/steering/routes/route_history.rs
+++ b/crates/zinniadrift-core/src/steering/routes/route_history.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::ids::ServiceId;
 use crate::units::Version;
 
 use crate::steering::{Route, RouteTable, ServiceWarmUp};
@@ -27,6 +28,10 @@
     /// out; the limits of the base then stay in force.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub warm_ups: Option<Vec<ServiceWarmUp>>,
+    /// All services of the configuration; `None` if they are those of the base and of the routes.
+    /// Older builds leave it out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub services: Option<Vec<ServiceId>>,
 }
 
 impl RouteDelta {
@@ -44,9 +49,14 @@
         };
         let of_base = self.base.map(|_| table.warm_ups().to_vec());
         let warm_ups = self.warm_ups.or(of_base).unwrap_or_default();
+        let of_base = self.base.and(table.services()).map(<[_]>::to_vec);
         let routes = kept.into_iter().chain(self.put).collect();
         let table = RouteTable::new(self.version, self.idle_timeout, routes);
-        Some(table.with_warm_ups(warm_ups))
+        let table = table.with_warm_ups(warm_ups);
+        Some(match self.services.or(of_base) {
+            Some(services) => table.with_services(services),
+            None => table,
+        })
     }
 }
 
@@ -81,6 +91,9 @@
         // The peer may have the base from an older build, without the limits.
         let has_any = !newest.warm_ups().is_empty() || !known.is_empty();
         let warm_ups = has_any.then(|| newest.warm_ups().to_vec());
+        // The services rarely change.
+        let services = newest.services();
+        let services = services.filter(|s| base.and_then(|b| b.services()) != Some(s));
         Some(RouteDelta {
             base: base.map(|b| b.version()),
             version: newest.version(),
@@ -88,6 +101,7 @@
             put: newest.iter().filter(|r| !unchanged(r)).cloned().collect(),
             removed: removed.map(|r| r.address).collect(),
             warm_ups,
+            services: services.map(<[_]>::to_vec),
         })
     }
 }
--- a/crates/zinniadrift-core/src/steering/routes/route_table.rs
+++ b/crates/zinniadrift-core/src/steering/routes/route_table.rs
@@ -14,6 +14,9 @@
     idle_timeout: Duration,
     routes: OrderedMap<SocketAddrV4, Route>,
     warm_ups: Vec<ServiceWarmUp>,
+    /// All services of the configuration, sorted; `None` if the balancer that sent it is of a build
+    /// that does not tell.
+    services: Option<Vec<ServiceId>>,
 }
 
 impl RouteTable {
@@ -28,9 +31,32 @@
             idle_timeout,
             routes: by_address,
             warm_ups: Vec::new(),
+            services: None,
         }
     }
 
+    /// Returns the table with these services in addition to those of its routes.
+    #[must_use]
+    pub fn with_services(self, mut services: Vec<ServiceId>) -> Self {
+        let routed = self.routes.values().flat_map(|r| &r.services);
+        services.extend(routed.map(|s| s.service));
+        services.sort_unstable();
+        services.dedup();
+        let services = Some(services);
+        Self { services, ..self }
+    }
+
+    /// Returns all services of the configuration, sorted; `None` if they are not known.
+    pub fn services(&self) -> Option<&[ServiceId]> {
+        self.services.as_deref()
+    }
+
+    /// Returns whether the configuration has the service, which counts as true if it is not known.
+    pub fn has_service(&self, service: ServiceId) -> bool {
+        let services = self.services.as_ref();
+        services.is_none_or(|list| list.binary_search(&service).is_ok())
+    }
+
     /// Returns the table with these limits of targets that warm up; of several for one service, it
     /// has the first.
     #[must_use]
--- a/crates/zinniadrift-core/src/steering/targets/probing.rs
+++ b/crates/zinniadrift-core/src/steering/targets/probing.rs
@@ -79,7 +79,7 @@
         let Some(index) = self.directory.find_by_name(name) else {
             return Vec::new();
         };
-        let owner = self.directory.new_owner(index);
+        let owner = self.directory.new_owner(index, &self.routes);
         let owner = owner.map(|r| r.instance.name.clone());
         let result = match result {
             ProbeResult::Accepted if owner.is_some() => ProbeResult::AddressReused,
--- a/crates/zinniadrift-proto/src/route_delta.rs
+++ b/crates/zinniadrift-proto/src/route_delta.rs
@@ -19,6 +19,9 @@
             warm_ups: delta.warm_ups.map(|list| v1::WarmUps {
                 services: list.into_iter().map(Into::into).collect(),
             }),
+            services: delta.services.map(|list| v1::Services {
+                ids: list.into_iter().map(ServiceId::get).collect(),
+            }),
         }
     }
 }
@@ -39,6 +42,9 @@
             warm_ups: delta
                 .warm_ups
                 .map(|list| list.services.into_iter().map(Into::into).collect()),
+            services: delta
+                .services
+                .map(|list| list.ids.into_iter().map(Into::into).collect()),
         })
     }
 }
--- a/tests/testsuite/edge_decoders.rs
+++ b/tests/testsuite/edge_decoders.rs
@@ -465,6 +465,30 @@
     assert_eq!(split.services.len(), 2);
 }
 
+/// Guards against services that are unknown because they have no route or no limits, or because the
+/// entry beside theirs is malformed.
+#[test]
+fn services_are_decoded_each_on_its_own() {
+    let spec = json!({
+        "version": 1,
+        "routes": [{"name": "r", "host": "198.18.0.1", "path_prefix": "/443/", "kind": "safe",
+                    "priority": 1, "service": "gradebook"}],
+        "services": [{"name": "corevault", "health_path": "/health"}, 7, {"name": null}, {}],
+    });
+    let table = decode_configuration(&spec).unwrap().table;
+    for (name, expected) in [
+        ("gradebook", true),
+        ("corevault", true),
+        ("inventory", false),
+    ] {
+        assert_eq!(
+            table.has_service(ServiceId::from_name(name)),
+            expected,
+            "{name}"
+        );
+    }
+}
+
 /// Decodes a configuration with one route and returns the route and the faults.
 fn decode_with(field: &str, value: Value) -> (Option<Route>, Vec<Box<str>>) {
     let mut route = json!({
--- a/tests/testsuite/peer_values.rs
+++ b/tests/testsuite/peer_values.rs
@@ -107,15 +107,17 @@
         routes,
         removed,
         prop::option::of(prop::collection::vec(warm_up(), 0..4)),
+        prop::option::of(prop::collection::vec(any::<u32>(), 0..4)),
     )
         .prop_map(
-            |(base, version, idle_timeout, put, removed, warm_ups)| RouteDelta {
+            |(base, version, idle_timeout, put, removed, warm_ups, services)| RouteDelta {
                 base: base.map(Into::into),
                 version: version.into(),
                 idle_timeout,
                 put,
                 removed,
                 warm_ups,
+                services: services.map(|list| list.into_iter().map(Into::into).collect()),
             },
         )
 }
--- a/tests/testsuite/steering/configuration.rs
+++ b/tests/testsuite/steering/configuration.rs
@@ -1,11 +1,16 @@
 //! Checks which configuration is in force, and what happens to flows of removed routes.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use zinniadrift_core::steering::{DirectoryListing, DropReason, ResetReason, RouteKind, Verdict};
+use zinniadrift_core::ids::ServiceId;
+use zinniadrift_core::steering::{
+    DirectoryListing, DropReason, ResetReason, RouteKind, RouteTable, Verdict,
+};
 
 use super::world::{
-    CERTIFICATE, STREAM, World, forwarded, reset_reason, route, standard_routes, table, target,
+    CERTIFICATE, SERVICE, STREAM, World, forwarded, reset_reason, route, standard_routes, table,
+    target,
 };
 
 const NEW_ADDRESS: &str = "198.18.0.9:8443";
@@ -217,6 +222,45 @@
     assert!(matches!(w.open(1_001, STREAM, 0), Verdict::Drop(_)));
 }
 
+/// Guards against balancers behind peers that do not know which services the configuration has, and
+/// against sending all of them with each change.
+#[test]
+fn services_reach_balancers_behind_peers() {
+    let configure = |w: &mut World, version: u64, names: &[&str]| {
+        let routes = vec![route(STREAM, RouteKind::Idempotent)];
+        let table = RouteTable::new(version.into(), Duration::from_secs(15), routes);
+        let services = names.iter().map(|name| ServiceId::from_name(name));
+        let table = table.with_services(services.collect());
+        let as_of = w.next_revision();
+        w.core.on_routes(w.now, Some(w.now), as_of, Arc::new(table));
+    };
+    let mut relay = World::empty(1);
+    relay.list(vec![target(1)]);
+    let mut w = World::empty(2);
+    let known: [(u64, &[&str], bool); 4] = [
+        (1, &["corevault", "inventory"], true),
+        (2, &["corevault", "inventory"], false),
+        (3, &["corevault"], true),
+        (4, &[], true),
+    ];
+    for (version, names, is_sent) in known {
+        configure(&mut relay, version, names);
+        let update = relay.core.update_for(relay.now, w.core.known_state());
+        let update = update.unwrap();
+        let services = update.routes.as_ref().unwrap().services.as_ref();
+        assert_eq!(services.is_some(), is_sent, "with version {version}");
+        w.apply_peer_update(update);
+        assert_eq!(w.core.routes().services(), relay.core.routes().services());
+        // The services of the routes are known without a list.
+        assert!(w.core.routes().has_service(ServiceId::from_name(SERVICE)));
+        let has_other = w
+            .core
+            .routes()
+            .has_service(ServiceId::from_name("inventory"));
+        assert_eq!(has_other, names.contains(&"inventory"));
+    }
+}
+
 /// Guards against ignoring the weights of a route's services.
 #[test]
 fn services_share_new_flows_by_weight() {
--- a/tests/testsuite/steering/liveness.rs
+++ b/tests/testsuite/steering/liveness.rs
@@ -5,7 +5,9 @@
 use zinniadrift_core::ids::ServiceId;
 use zinniadrift_core::steering::{Cookie, ProbeResult, ResetReason, SegmentKind, TargetInstance};
 
-use super::world::{STREAM, World, flow, forwarded, packet, remote_target, reset_reason, target};
+use super::world::{
+    OTHER_SERVICE, STREAM, World, flow, forwarded, packet, remote_target, reset_reason, target,
+};
 
 /// A flow with an outstanding request.
 struct PendingRequest {
@@ -174,7 +176,7 @@
 fn new_owner() -> TargetInstance {
     TargetInstance {
         name: "i-00000000ff".into(),
-        service: ServiceId::from_name("corevault"),
+        service: ServiceId::from_name(OTHER_SERVICE),
         instance_id: 255.into(),
         ..target(1)
     }
@@ -217,6 +219,26 @@
     assert_eq!(resets.len(), waiting);
 }
 
+/// Guards against resets of flows to a living target because an entry of a service that the
+/// configuration does not have names its address (review/2).
+#[test]
+fn entry_of_unknown_service_does_not_take_over_an_address() {
+    let (mut w, pending) = with_dead_target();
+    w.put(TargetInstance {
+        service: ServiceId::from_name("inventory"),
+        ..new_owner()
+    });
+    let result = ProbeResult::Accepted;
+    let resets = w.core.on_probe(w.now, &target(1).name, result);
+    assert!(resets.is_empty());
+    for p in &pending {
+        assert_eq!(forwarded(w.send(p.port, STREAM, p.cookie)), p.to);
+    }
+    w.advance(1_000);
+    let mut opened = (0..100).map(|i| forwarded(w.open(2_000 + i, STREAM, 0)));
+    assert!(opened.any(|to| to == target(1).address));
+}
+
 /// Guards against resetting the flows of a live target because another entry has the same address.
 #[test]
 fn responding_target_with_reused_address_keeps_flows() {
--- a/tests/testsuite/steering/world.rs
+++ b/tests/testsuite/steering/world.rs
@@ -16,6 +16,8 @@
 pub(super) const ZONE: &str = "lowell";
 pub(super) const REMOTE_ZONE: &str = "nashua";
 pub(super) const SERVICE: &str = "gradebook";
+/// A service of the configuration without a route.
+pub(super) const OTHER_SERVICE: &str = "corevault";
 
 /// The address of the route with long flows.
 pub(super) const STREAM: &str = "198.18.0.1:443";
@@ -90,7 +92,9 @@
 
 pub(super) fn table(version: u64, routes: Vec<Route>) -> Arc<RouteTable> {
     let idle_timeout = Duration::from_secs(15);
-    Arc::new(RouteTable::new(version.into(), idle_timeout, routes))
+    let services = [SERVICE, OTHER_SERVICE].map(ServiceId::from_name);
+    let table = RouteTable::new(version.into(), idle_timeout, routes);
+    Arc::new(table.with_services(services.to_vec()))
 }
 
 /// Returns the flow from a caller's port to the route at the address `at`.
