Tell the owner of an address by start times and responses, not by the order of a list

Callers could see open flows to a living target reset by a balancer that had just started: of two entries with one address, the one that stood behind the other in the first list counted as the next owner. An entry of a known service with the address of a target that answers all callers did the same at any time.

An entry now takes over an address only if it became known later, or started later if both report that, and while the former owner has not answered a caller since.

steering::liveness::order_of_a_list_does_not_tell_the_owner, ::earlier_start_is_no_new_owner and ::target_that_responded_keeps_its_address failed before; ::later_start_is_the_new_owner passed and keeps the detection of dead targets.

--- a/crates/zinniadrift-core/src/steering/directory/target_directory.rs
+++ b/crates/zinniadrift-core/src/steering/directory/target_directory.rs
@@ -358,7 +358,7 @@
         dead * 2 > listed
     }
 
-    /// Returns the target that is listed at the same address and became known later.
+    /// Returns the target that has taken over the address of another one.
     ///
     /// Entries of services that the configuration does not have name no target: anyone may write
     /// one, with any address.
@@ -367,14 +367,15 @@
         index: TargetIndex,
         routes: &RouteTable,
     ) -> Option<&TargetRecord> {
-        let address = self.get(index)?.instance.address;
-        let mut later = self.records.iter().filter(|(other, _)| **other > index);
-        let owns = |r: &TargetRecord| {
+        let record = self.get(index)?;
+        let address = record.instance.address;
+        let owns = |r: &&TargetRecord| {
             r.presence.is_listed()
                 && r.instance.address == address
                 && routes.has_service(r.instance.service)
+                && record.is_replaced_by(r)
         };
-        later.find(|(_, r)| owns(r)).map(|(_, r)| r)
+        self.records.values().find(owns)
     }
 
     /// Returns whether the target died and its address has a new owner, which accepts connections
--- a/crates/zinniadrift-core/src/steering/targets/liveness.rs
+++ b/crates/zinniadrift-core/src/steering/targets/liveness.rs
@@ -17,6 +17,8 @@
     is_dead: bool,
     /// Whether the target was dead at any time since its last response to a caller.
     died_since_response: bool,
+    /// The time of its last response to a caller.
+    last_response: Option<MonoTime>,
 }
 
 /// The result of a probe.
@@ -50,9 +52,10 @@
     }
 
     /// Records a response to a caller.
-    pub(crate) fn record_response(&mut self) {
+    pub(crate) fn record_response(&mut self, now: MonoTime) {
         self.record_connection();
         self.died_since_response = false;
+        self.last_response = Some(now);
     }
 
     /// Records that a connection to the target's address was accepted.
@@ -96,6 +99,11 @@
         self.died_since_response
     }
 
+    /// Returns the time of the last response to a caller.
+    pub(crate) const fn last_response(&self) -> Option<MonoTime> {
+        self.last_response
+    }
+
     /// Returns whether the target counts as dead.
     pub(crate) const fn is_dead(&self) -> bool {
         self.is_dead
--- a/crates/zinniadrift-core/src/steering/targets/target_record.rs
+++ b/crates/zinniadrift-core/src/steering/targets/target_record.rs
@@ -57,6 +57,8 @@
     /// name.
     pub(crate) tag: TargetTag,
     pub(crate) presence: Presence,
+    /// When this balancer learned of the instance.
+    pub(crate) known_since: MonoTime,
     /// When the instance has warmed up.
     pub(crate) warm_up_end: MonoTime,
     /// When this balancer learned of the instance's start; `None` if the instance was in its first
@@ -105,6 +107,7 @@
         Self {
             tag: TargetTag::from_name(&instance.name),
             instance,
+            known_since: now,
             presence: Presence::Listed,
             warm_up_end,
             start_seen_at: None,
@@ -157,6 +160,23 @@
         }
     }
 
+    /// Returns whether `other`, which is registered at the same address, has taken it over.
+    ///
+    /// That takes an entry that is known to be later, and no response of this target since.
+    pub(crate) fn is_replaced_by(&self, other: &Self) -> bool {
+        let starts = self
+            .instance
+            .started_at_ms
+            .zip(other.instance.started_at_ms);
+        let is_later = match starts {
+            // The first list has entries of any age.
+            Some((own, others)) => others > own && other.known_since >= self.known_since,
+            None => other.known_since > self.known_since,
+        };
+        let responded = self.liveness.last_response();
+        is_later && responded.is_none_or(|at| at <= other.known_since)
+    }
+
     /// Counts a flow that entered `phase`.
     pub(crate) fn enter_phase(&mut self, phase: FlowPhase) {
         match phase {
@@ -207,7 +227,7 @@
     pub(crate) fn record_response(&mut self, now: MonoTime) {
         self.unanswered_opens = 0;
         self.suspect_until = MonoTime::default();
-        self.liveness.record_response();
+        self.liveness.record_response(now);
         self.observed.record_answer(now);
     }
 
--- a/tests/testsuite/steering/liveness.rs
+++ b/tests/testsuite/steering/liveness.rs
@@ -219,6 +219,74 @@
     assert_eq!(resets.len(), waiting);
 }
 
+/// Sends requests to three targets, of which target 1 does not respond in time, with `other` among
+/// the entries from the first list on, and returns the number of flows that are reset after a probe
+/// of target 1 was accepted.
+fn resets_with_listed(instance: TargetInstance, other: TargetInstance) -> usize {
+    let mut w = World::new(1, vec![instance, target(2), target(3), other]);
+    let pending = start_requests(&mut w, 0..6);
+    w.advance_clock(200);
+    respond_to_all_but(&mut w, &pending, target(1).address);
+    let result = ProbeResult::Accepted;
+    w.core.on_probe(w.now, &target(1).name, result).len()
+}
+
+fn started_at(instance: TargetInstance, ms: u64) -> TargetInstance {
+    TargetInstance {
+        started_at_ms: Some(ms),
+        ..instance
+    }
+}
+
+macro_rules! owners {
+    ($($(#[$doc:meta])* $name:ident: $instance:expr, $other:expr => $takes_over:expr;)*) => {
+        $(
+            $(#[$doc])*
+            #[test]
+            fn $name() {
+                assert_eq!(resets_with_listed($instance, $other) > 0, $takes_over);
+            }
+        )*
+    };
+}
+
+owners! {
+    /// Guards against a balancer that has just started and takes a living target for the former
+    /// owner of its address because the entry of a dead one stands behind it in the list.
+    order_of_a_list_does_not_tell_the_owner: target(1), new_owner() => false;
+    /// Guards against the same where the targets report their start.
+    earlier_start_is_no_new_owner:
+        started_at(target(1), 2_000), started_at(new_owner(), 1_000) => false;
+    /// Guards against flows that hang at a dead target whose address has a new owner already when
+    /// the balancer starts.
+    later_start_is_the_new_owner:
+        started_at(target(1), 1_000), started_at(new_owner(), 2_000) => true;
+}
+
+/// Guards against resets of flows to a target that answered its callers after another entry with its
+/// address had appeared.
+#[test]
+fn target_that_responded_keeps_its_address() {
+    let mut w = World::new(1, (1..=3).map(target).collect());
+    w.put(new_owner());
+    w.advance_clock(100);
+    let pending = start_requests(&mut w, 0..6);
+    w.advance_clock(200);
+    // The first flow to target 1 gets its response, the others wait.
+    let to_first = |p: &&PendingRequest| p.to == target(1).address;
+    let answered = pending.iter().find(to_first).unwrap();
+    w.acknowledge(answered.port, STREAM, answered.cookie, 100);
+    let waiting = start_requests(&mut w, 10..20);
+    for _ in 0..2 {
+        w.advance_clock(200);
+        respond_to_all_but(&mut w, &waiting, target(1).address);
+    }
+    let resets = w
+        .core
+        .on_probe(w.now, &target(1).name, ProbeResult::Accepted);
+    assert!(resets.is_empty());
+}
+
 /// Guards against resets of flows to a living target because an entry of a service that the
 /// configuration does not have names its address (review/2).
 #[test]
