--- a/crates/zinniadrift-core/src/steering/sync/watch_loop.rs
+++ b/crates/zinniadrift-core/src/steering/sync/watch_loop.rs
@@ -221,11 +221,13 @@
         if error == StoreCallError::MorePages {
             return;
         }
-        if matches!(error, StoreCallError::Compacted | StoreCallError::Returned) {
+        let lost_position = matches!(error, StoreCallError::Compacted | StoreCallError::Returned);
+        // The same watch would return the same answer.
+        if lost_position || error == StoreCallError::Unreadable {
             self.position = None;
             self.must_list = true;
             self.listed = true;
-            if self.failures == 0 {
+            if lost_position && self.failures == 0 {
                 self.failures = 1;
                 return;
             }
--- a/tests/testsuite/edge_store.rs
+++ b/tests/testsuite/edge_store.rs
@@ -116,6 +116,43 @@
     stop.cancel();
 }
 
+/// Guards against a configuration, or requests to drain a zone, that cannot be read because of one
+/// value.
+#[tokio::test]
+async fn unreadable_values_cost_no_route_and_no_drain() {
+    let store = Store::new();
+    let (address, stop) = serve(&store).await;
+    let client = StoreClient::new(address);
+    for odd in [
+        "1e999",
+        r#""\udcff""#,
+        &format!("{}{}", "[".repeat(200), "]".repeat(200)),
+    ] {
+        let route = |port: u32, priority: &str| {
+            format!(
+                r#"{{"name":"r-{port}","host":"198.18.0.1","path_prefix":"/{port}/",
+                "kind":"safe","priority":{priority},"service":"gradebook"}}"#
+            )
+        };
+        let routes = [route(1, "1"), route(2, odd), route(3, "1")].join(",");
+        let spec = format!(r#"{{"version":7,"routes":[{routes}],"owner":{odd}}}"#);
+        store.put_bytes("config", "main", spec.as_bytes());
+        let answer = client.list(Feed::Routes, false, ListExtent::All).await;
+        let Some(FeedUpdate::Routes(table)) = answer.unwrap().update else {
+            panic!("no routes with {odd}");
+        };
+        assert_eq!(table.len(), 3, "with {odd}");
+        store.put_bytes("evacuations", "lowell", odd.as_bytes());
+        store.put("evacuations", "nashua", &json!({}));
+        let answer = client.list(Feed::ZoneDrains, false, ListExtent::All).await;
+        let Some(FeedUpdate::ZoneDrains(zones)) = answer.unwrap().update else {
+            panic!("no zones with {odd}");
+        };
+        assert_eq!(zones, ["lowell", "nashua"].map(ZoneName::from).into());
+    }
+    stop.cancel();
+}
+
 /// Guards against requests to drain a zone that are missed on later pages, or that count after their
 /// removal has begun, and against content of the objects that is interpreted.
 #[tokio::test]
--- a/tests/testsuite/steering/watch_loop.rs
+++ b/tests/testsuite/steering/watch_loop.rs
@@ -182,6 +182,25 @@
     );
 }
 
+/// Guards against a balancer that asks for the same changes again and again if the answer cannot be
+/// read.
+#[test]
+fn unreadable_changes_are_followed_by_a_current_list() {
+    let mut watch = after_list(7);
+    watch.on_failure(at(10), StoreCallError::Unreadable);
+    let step = watch.next_step(at(10), StoreNeed::Relay, 7.into());
+    let StoreStep::WaitUntil(until) = step else {
+        panic!("no pause: {step:?}");
+    };
+    assert_eq!(
+        watch.next_step(until, StoreNeed::Relay, 7.into()),
+        StoreStep::List {
+            stale: false,
+            extent: ListExtent::All
+        }
+    );
+}
+
 /// Guards against calls without back-off to a store that reports compaction on every call.
 #[test]
 fn repeated_compaction_is_retried_with_back_off() {
